Decide forwarded requests in core: routes, replicas, hedges, retries and merges

Cause: on the users' platform requests are opaque and routed by host and path to one service, a weighted split or a set of shards. The engine knows searches and bookings of the product's own interface only.

Forwarder takes events and the time and returns commands, as Engine does, and knows no encoding. A replica (chart replica.toml) is what a node believes of a registered upstream.

Ruled out: extending Engine. Its searches name tenants, bundles and tickets in each step, and a canary round before the fan-out costs 10 to 28 ms against objectives of 40 to 120 ms.

--- /dev/null
+++ b/crates/core/src/forward_event.rs
@@ -0,0 +1,43 @@
+//! What happens to the decisions about forwarded requests.
+
+use crate::prelude::*;
+use std::collections::BTreeSet;
+
+/// Input of [`Forwarder`].
+#[derive(Clone, Debug)]
+pub enum ForwardEvent {
+    /// A configuration is in force.
+    Configured(Arc<RoutingTable>),
+    /// The registry has this entry.
+    Registered(RegisteredUpstream),
+    /// The registry no longer has the entry of this instance.
+    Deregistered(Arc<str>),
+    /// Zones that operators have taken out.
+    ZonesOut(BTreeSet<Arc<str>>),
+    /// Nodes that share the limits of upstreams, this one included.
+    FleetSize(u32),
+    /// A caller asks.
+    Request {
+        /// Who waits for the answer.
+        caller: CallerKey,
+        /// What it asks.
+        request: Arc<ForwardRequest>,
+    },
+    /// A caller no longer waits.
+    CallerGone(CallerKey),
+    /// An attempt ended; exactly one for each [`ForwardCommand::Send`].
+    Finished(AttemptEnd),
+    /// The time of [`Forwarder::next_wakeup`] has come.
+    Wakeup,
+}
+
+/// End of one attempt.
+#[derive(Clone, Debug)]
+pub struct AttemptEnd {
+    /// Attempt of the command.
+    pub attempt: AttemptKey,
+    /// How it ended.
+    pub outcome: ForwardOutcome,
+    /// Load that the upstream reported with its reply.
+    pub load: Option<ReportedLoad>,
+}
--- a/crates/core/src/keys.rs
+++ b/crates/core/src/keys.rs
@@ -13,6 +13,8 @@
     pub struct QueryKey;
     /// One sub-request to one upstream; its key goes out of use with its one reply.
     pub struct AttemptKey;
+    /// A running forwarded request.
+    pub struct FlowKey;
     /// A running booking.
     pub struct BookingKey;
     /// A caller that waits for an answer.
--- /dev/null
+++ b/crates/core/src/replica.rs
@@ -0,0 +1,274 @@
+//! A registered upstream as this node sees it.
+
+use crate::prelude::*;
+use std::collections::VecDeque;
+
+/// First wait before a suspect gets a trial request.
+const FIRST_BACK_OFF: Duration = Duration::from_millis(250);
+
+/// Longest wait between two trials.
+const MAX_BACK_OFF: Duration = Duration::from_secs(2);
+
+/// Connections that break in a row before an upstream is suspect. Single ones break in working upstreams too.
+const BREAKS_IN_A_ROW: u32 = 4;
+
+/// Weight of a new sample in the slowness and the share of failures.
+const WEIGHT: f64 = 0.2;
+
+/// Age at which a reported load says nothing any more.
+const LOAD_LIFETIME: Duration = Duration::from_millis(150);
+
+/// Multiple of the expected reply time after which an upstream without any reply counts as silent.
+const SILENT_RATIO: f64 = 2.0;
+
+/// Shortest silence that shows anything.
+const SILENCE_FLOOR: Duration = Duration::from_millis(15);
+
+/// Length of the window in which the requests of a cold upstream are counted. A little over the second for which its
+/// rate is given, because requests may be held up on the way.
+const COLD_WINDOW: Duration = Duration::from_millis(1_200);
+
+/// A registered upstream.
+#[derive(Debug)]
+pub(crate) struct Replica {
+    pub(crate) entry: RegisteredUpstream,
+    pub(crate) service: ServiceKey,
+    pub(crate) state: ReplicaState,
+    /// Whether the registry still has it. One without an entry ends when nothing runs on it.
+    pub(crate) registered: bool,
+    cold_until: Timestamp,
+    /// Sends within the last [`COLD_WINDOW`].
+    recent_sends: VecDeque<Timestamp>,
+    trial_at: Timestamp,
+    back_off: Duration,
+    breaks: u32,
+    may_have_restarted: bool,
+    /// Attempts that run, oldest first.
+    running: Vec<(AttemptKey, Timestamp)>,
+    last_reply: Timestamp,
+    /// Its reply times as a multiple of the usual ones.
+    slowness: f64,
+    /// Share of its recent replies that are failures.
+    failures: f64,
+    load: Option<(Timestamp, ReportedLoad)>,
+}
+
+impl Replica {
+    pub(crate) fn new(
+        now: Timestamp,
+        entry: RegisteredUpstream,
+        service: ServiceKey,
+        state: ReplicaState,
+    ) -> Self {
+        Self {
+            cold_until: now + entry.cold_for,
+            entry,
+            service,
+            state,
+            registered: true,
+            recent_sends: VecDeque::new(),
+            trial_at: Timestamp::ZERO,
+            back_off: FIRST_BACK_OFF,
+            breaks: 0,
+            may_have_restarted: false,
+            running: Vec::new(),
+            last_reply: Timestamp::ZERO,
+            slowness: 1.0,
+            failures: 0.0,
+            load: None,
+        }
+    }
+
+    /// Steps its chart, and returns the note if the belief changed.
+    pub(crate) fn step(
+        &mut self,
+        chart: &Chart<ReplicaMachine>,
+        now: Timestamp,
+        event: ReplicaEvent,
+        warm_up: Duration,
+    ) -> Option<ForwardNote> {
+        let from = self.state;
+        let step = chart.step(from, event, |guard| match guard {
+            ReplicaGuard::RunOfBreaks => self.breaks >= BREAKS_IN_A_ROW,
+            ReplicaGuard::MayHaveRestarted => self.may_have_restarted,
+        });
+        self.state = step.next;
+        for action in step.actions {
+            match action {
+                ReplicaAction::BeginWarmUp => {
+                    self.cold_until = self.cold_until.max(now + warm_up);
+                    self.may_have_restarted = false;
+                    self.breaks = 0;
+                    self.slowness = 1.0;
+                    self.back_off = FIRST_BACK_OFF;
+                }
+                ReplicaAction::ExpectRestart => self.may_have_restarted = true,
+                ReplicaAction::BackOff => {
+                    self.trial_at = now + self.back_off;
+                    self.back_off = (self.back_off * 2).min(MAX_BACK_OFF);
+                }
+            }
+        }
+        (from != self.state).then(|| ForwardNote::Upstream {
+            instance: Arc::clone(&self.entry.instance),
+            service: Arc::clone(&self.entry.service),
+            from,
+            to: self.state,
+            cause: event,
+            silent_for: now.since(self.last_reply),
+        })
+    }
+
+    /// Whether the warm-up time is over.
+    pub(crate) fn is_warmed(&self, now: Timestamp) -> bool {
+        self.state == ReplicaState::Cold && self.cold_until <= now
+    }
+
+    /// Whether a new attempt may go there, when this node may hold `connections` to it and send it `cold_sends`
+    /// requests in one window while it is cold.
+    pub(crate) fn takes_work(&mut self, now: Timestamp, connections: u32, cold_sends: u32) -> bool {
+        if self.running.len() >= connections as usize {
+            return false;
+        }
+        match self.state {
+            ReplicaState::Warm => true,
+            ReplicaState::Cold => {
+                self.forget_sends(now);
+                self.recent_sends.len() < cold_sends as usize
+            }
+            ReplicaState::Suspect | ReplicaState::Trial | ReplicaState::Leaving => false,
+        }
+    }
+
+    /// Whether a suspect's next trial is due.
+    pub(crate) fn trial_due(&self, now: Timestamp) -> bool {
+        self.state == ReplicaState::Suspect && self.trial_at <= now
+    }
+
+    /// Time in seconds until a reply to a request that usually takes `usual` seconds is expected.
+    pub(crate) fn expected(&self, now: Timestamp, usual: f64) -> f64 {
+        let service_time = usual * self.slowness;
+        let own = self.running.len() as u32;
+        let reported = match self.load {
+            Some((at, load)) if now.since(at) < LOAD_LIFETIME => load.running + load.waiting,
+            _ => 0,
+        };
+        let slots = self.entry.slots.max(1);
+        let ahead = own.max(reported);
+        let waits = f64::from((ahead + 1).saturating_sub(slots)) / f64::from(slots);
+        // An idle upstream is a little better than a busy one.
+        let busy = f64::from(ahead.min(slots)) / f64::from(slots) * 0.1;
+        service_time * (1.0 + waits + busy)
+            + self.silence(now, service_time)
+            + self.failures * 10.0 * usual
+    }
+
+    /// How long it has been silent, in seconds, if that is longer than a reply takes; otherwise 0.
+    fn silence(&self, now: Timestamp, service_time: f64) -> f64 {
+        let Some(&(_, oldest)) = self.running.first() else {
+            return 0.0;
+        };
+        let silent = now.since(oldest.max(self.last_reply));
+        let usual = Duration::from_secs_f64(service_time * SILENT_RATIO).max(SILENCE_FLOOR);
+        if silent <= usual {
+            return 0.0;
+        }
+        // A pause that has lasted for some time lasts about as long again.
+        silent.as_secs_f64() + 0.05
+    }
+
+    /// Records that an attempt was sent.
+    pub(crate) fn sent(&mut self, now: Timestamp, attempt: AttemptKey) {
+        self.running.push((attempt, now));
+        self.forget_sends(now);
+        self.recent_sends.push_back(now);
+    }
+
+    /// Records the end of an attempt that usually takes `usual` seconds, and returns what it shows.
+    pub(crate) fn finished(
+        &mut self,
+        now: Timestamp,
+        end: &AttemptEnd,
+        usual: f64,
+    ) -> Option<ReplicaEvent> {
+        let position = self
+            .running
+            .iter()
+            .position(|(key, _)| *key == end.attempt)?;
+        let (_, sent) = self.running.remove(position);
+        if let Some(load) = end.load {
+            self.load = Some((now, load));
+        }
+        match &end.outcome {
+            ForwardOutcome::Served(_) => {
+                let ratio = now.since(sent).as_secs_f64() / usual.max(1e-4);
+                self.slowness += WEIGHT * (ratio.clamp(0.3, 20.0) - self.slowness);
+                Some(self.answered(now, 0.0))
+            }
+            ForwardOutcome::Failed(_) | ForwardOutcome::Invalid => Some(self.answered(now, 1.0)),
+            ForwardOutcome::NotRun(NotRunCause::OtherInstance) => Some(ReplicaEvent::Leave),
+            ForwardOutcome::NotRun(_) => Some(self.answered(now, 0.5)),
+            ForwardOutcome::Broken => {
+                self.breaks += 1;
+                self.failures += WEIGHT * (1.0 - self.failures);
+                Some(ReplicaEvent::Broken)
+            }
+            ForwardOutcome::NotSent => Some(ReplicaEvent::Unreachable),
+            ForwardOutcome::Silent if self.last_reply <= sent => Some(ReplicaEvent::Unreachable),
+            ForwardOutcome::Silent => {
+                self.failures += WEIGHT * (1.0 - self.failures);
+                (self.state == ReplicaState::Trial).then_some(ReplicaEvent::Broken)
+            }
+            // A trial that was cancelled showed nothing.
+            ForwardOutcome::Cancelled => {
+                (self.state == ReplicaState::Trial).then_some(ReplicaEvent::Broken)
+            }
+        }
+    }
+
+    /// Whether nothing runs on it.
+    pub(crate) fn is_idle(&self) -> bool {
+        self.running.is_empty()
+    }
+
+    /// Takes over a changed entry of the registry.
+    pub(crate) fn update(
+        &mut self,
+        now: Timestamp,
+        entry: RegisteredUpstream,
+    ) -> Option<ReplicaEvent> {
+        if self.registered && entry == self.entry {
+            return None;
+        }
+        self.registered = true;
+        let restarted = entry.started_at_ms != self.entry.started_at_ms
+            || (!entry.cold_for.is_zero() && self.state != ReplicaState::Cold);
+        self.cold_until = self.cold_until.max(now + entry.cold_for);
+        let (was_leaving, leaving) = (self.state == ReplicaState::Leaving, entry.leaving);
+        self.entry = entry;
+        if leaving {
+            return Some(ReplicaEvent::Leave);
+        }
+        if was_leaving {
+            return Some(ReplicaEvent::Stay);
+        }
+        restarted.then_some(ReplicaEvent::Restarted)
+    }
+
+    fn answered(&mut self, now: Timestamp, failure: f64) -> ReplicaEvent {
+        self.last_reply = now;
+        self.breaks = 0;
+        self.failures += WEIGHT * (failure - self.failures);
+        ReplicaEvent::Answered
+    }
+
+    fn forget_sends(&mut self, now: Timestamp) {
+        while self
+            .recent_sends
+            .front()
+            .is_some_and(|at| now.since(*at) >= COLD_WINDOW)
+        {
+            self.recent_sends.pop_front();
+        }
+    }
+}
--- a/crates/core/src/searches.rs
+++ b/crates/core/src/searches.rs
@@ -24,7 +24,7 @@
     pub(crate) by_caller: HashMap<CallerKey, QueryKey>,
     /// Queries with the same service and text.
     pub(crate) by_digest: HashMap<Digest, Vec<QueryKey>>,
-    pub(crate) timers: Timers,
+    pub(crate) timers: Timers<QueryKey>,
     pub(crate) services: SlotMap<ServiceKey, ServiceState>,
     pub(crate) service_names: HashMap<Arc<str>, ServiceKey>,
     /// Search attempts that are running, cancelled ones included.
--- a/crates/core/src/timers.rs
+++ b/crates/core/src/timers.rs
@@ -1,25 +1,33 @@
-//! Times at which queries want to be looked at.
+//! Times at which queries and flows want to be looked at.
 
 use crate::prelude::*;
 use std::collections::BTreeSet;
 
-/// One time a query, in order, so that a wakeup touches only the queries that are due.
-#[derive(Debug, Default)]
-pub(crate) struct Timers {
-    due: BTreeSet<(Timestamp, QueryKey)>,
+/// One time a key, in order, so that a wakeup touches only the keys that are due.
+#[derive(Debug)]
+pub(crate) struct Timers<K> {
+    due: BTreeSet<(Timestamp, K)>,
 }
 
-impl Timers {
-    /// Replaces the time `old` of a query by `new`.
-    pub(crate) fn set(&mut self, query: QueryKey, old: Option<Timestamp>, new: Option<Timestamp>) {
+impl<K> Default for Timers<K> {
+    fn default() -> Self {
+        Self {
+            due: BTreeSet::new(),
+        }
+    }
+}
+
+impl<K: Copy + Ord> Timers<K> {
+    /// Replaces the time `old` of a key by `new`.
+    pub(crate) fn set(&mut self, key: K, old: Option<Timestamp>, new: Option<Timestamp>) {
         if old == new {
             return;
         }
         if let Some(old) = old {
-            self.due.remove(&(old, query));
+            self.due.remove(&(old, key));
         }
         if let Some(new) = new {
-            self.due.insert((new, query));
+            self.due.insert((new, key));
         }
     }
 
@@ -28,13 +36,13 @@
         self.due.first().map(|(at, _)| *at)
     }
 
-    /// Takes out a query whose time has come.
-    pub(crate) fn pop_due(&mut self, now: Timestamp) -> Option<QueryKey> {
-        let &(at, query) = self.due.first()?;
+    /// Takes out a key whose time has come.
+    pub(crate) fn pop_due(&mut self, now: Timestamp) -> Option<K> {
+        let &(at, key) = self.due.first()?;
         if at > now {
             return None;
         }
         self.due.pop_first();
-        Some(query)
+        Some(key)
     }
 }
