Serve forwarded requests: connections, pools and the registry watcher

Cause: the decisions of core need tasks that own the sockets. awc hides what the platform's rules are about: bytes after a complete reply, a reply for another request, a reply without a length that ends by a reset. The codecs of actix-http (h1::Codec, h1::ClientCodec) show all of it under tokio-util's Decoder and Encoder; a reply without a length is read behind the codec, which takes it for one without a body.

One task a connection, towards callers and upstreams; one task owns the decisions and the pools; one task follows the registry. A Dialect translates HTTP messages, a Registry the published documents, so that another platform is another implementation of these two.

--- /dev/null
+++ b/crates/node/src/caller_connection.rs
@@ -0,0 +1,259 @@
+//! One caller's connection: strict HTTP/1.1, one request at a time.
+
+use crate::{
+    dialect::{Dialect, HttpAnswer},
+    forward_task::{CallerMessage, ForwardMessage, ForwardSender},
+    http_stream::HttpStream,
+    prelude::*,
+};
+use actix_http::{
+    ConnectionType, Request, Response, ServiceConfig, StatusCode,
+    body::BodySize,
+    error::ParseError,
+    h1::{Codec, Message},
+};
+use bytes::BytesMut;
+use tokio::{net::TcpStream, time::Instant};
+use tokio_util::codec::{Decoder as _, Encoder as _};
+
+/// Time for which a caller may not read its answer before its connection is closed.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Interim reply to a caller that waits for permission to send its body.
+const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
+
+/// Surroundings of a caller's connection.
+#[derive(Clone, Debug)]
+pub(crate) struct CallerParts<D> {
+    pub(crate) dialect: D,
+    pub(crate) forward: ForwardSender,
+    /// What callers may send.
+    pub(crate) limits: watch::Receiver<CallerLimits>,
+    /// Phase of the listener.
+    pub(crate) phase: watch::Receiver<ForwardPhase>,
+    pub(crate) config: ServiceConfig,
+    pub(crate) log: Logger,
+}
+
+/// Phase of the listener for callers.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum ForwardPhase {
+    /// Keeps connections open between requests.
+    #[default]
+    Open,
+    /// Closes each connection after its next answer.
+    Closing,
+    /// Closes connections without a request.
+    Ending,
+}
+
+struct CallerConnection<D> {
+    parts: CallerParts<D>,
+    stream: HttpStream,
+    codec: Codec,
+    tx: mpsc::UnboundedSender<CallerMessage>,
+    rx: mpsc::UnboundedReceiver<CallerMessage>,
+}
+
+/// Why no request was read.
+enum ReadEnd {
+    /// The connection ended or was idle for too long.
+    Closed,
+    /// The caller gets this status, and its connection is closed.
+    Rejected(StatusCode),
+}
+
+/// Serves a caller's connection until it ends.
+pub(crate) async fn run<D: Dialect>(stream: TcpStream, parts: CallerParts<D>) {
+    let (tx, rx) = mpsc::unbounded_channel();
+    let codec = Codec::new(parts.config.clone());
+    let mut connection = CallerConnection {
+        parts,
+        stream: HttpStream::new(stream),
+        codec,
+        tx,
+        rx,
+    };
+    while connection.serve_one().await {
+        connection.stream.shrink();
+    }
+}
+
+impl<D: Dialect> CallerConnection<D> {
+    /// Reads one request and answers it. Returns whether the connection stays open.
+    async fn serve_one(&mut self) -> bool {
+        let (head, body) = match self.read_request().await {
+            Ok(read) => read,
+            Err(ReadEnd::Closed) => return false,
+            Err(ReadEnd::Rejected(status)) => {
+                debug!(self.parts.log, "request_rejected"; "status" => status.as_u16());
+                return self.write(HttpAnswer::empty(status), true).await;
+            }
+        };
+        let request = match self.parts.dialect.request(head.head(), body) {
+            Ok(request) => Arc::new(request),
+            Err(fault) => {
+                debug!(self.parts.log, "request_rejected"; "status" => fault.status.as_u16(), "reason" => fault.reason);
+                return self.write(HttpAnswer::empty(fault.status), false).await;
+            }
+        };
+        let Some(answer) = self.forward(request).await else {
+            return false;
+        };
+        let answer = self.parts.dialect.answer(answer);
+        self.write(answer, false).await
+    }
+
+    async fn read_request(&mut self) -> Result<(Request, Bytes), ReadEnd> {
+        let limits = *self.parts.limits.borrow();
+        let mut deadline = None;
+        let before = loop {
+            let before = self.stream.input.len();
+            match self.codec.decode(&mut self.stream.input) {
+                Ok(Some(Message::Item(req))) => break (req, before - self.stream.input.len()),
+                Ok(Some(Message::Chunk(_))) => {
+                    return Err(ReadEnd::Rejected(StatusCode::BAD_REQUEST));
+                }
+                Ok(None) if before > limits.max_head_bytes => {
+                    return Err(ReadEnd::Rejected(
+                        StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
+                    ));
+                }
+                Ok(None) => {}
+                Err(ParseError::TooLarge) => {
+                    return Err(ReadEnd::Rejected(
+                        StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
+                    ));
+                }
+                Err(_) => return Err(ReadEnd::Rejected(StatusCode::BAD_REQUEST)),
+            }
+            if before == 0 {
+                self.await_request(limits.idle_timeout).await?;
+                continue;
+            }
+            let deadline = *deadline.get_or_insert_with(|| Instant::now() + limits.head_timeout);
+            self.fill_until(deadline).await?;
+        };
+        let (req, head_bytes) = before;
+        if head_bytes > limits.max_head_bytes {
+            return Err(ReadEnd::Rejected(
+                StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
+            ));
+        }
+        let body = self.read_body(&req, limits).await?;
+        Ok((req, body))
+    }
+
+    /// Waits for the first byte of a request.
+    async fn await_request(&mut self, idle_timeout: Duration) -> Result<(), ReadEnd> {
+        loop {
+            if *self.parts.phase.borrow() == ForwardPhase::Ending {
+                return Err(ReadEnd::Closed);
+            }
+            tokio::select! {
+                filled = self.stream.fill() => return match filled {
+                    Ok(0) | Err(_) => Err(ReadEnd::Closed),
+                    Ok(_) => Ok(()),
+                },
+                changed = self.parts.phase.changed() => if changed.is_err() {
+                    return Err(ReadEnd::Closed);
+                },
+                () = tokio::time::sleep(idle_timeout) => return Err(ReadEnd::Closed),
+            }
+        }
+    }
+
+    async fn read_body(&mut self, req: &Request, limits: CallerLimits) -> Result<Bytes, ReadEnd> {
+        if self.codec.message_type() == actix_http::h1::MessageType::None {
+            return Ok(Bytes::new());
+        }
+        if req.head().expect() {
+            self.stream.output.extend_from_slice(CONTINUE);
+            if self.stream.flush().await.is_err() {
+                return Err(ReadEnd::Closed);
+            }
+        }
+        let deadline = Instant::now() + limits.head_timeout;
+        let mut body = BytesMut::new();
+        loop {
+            match self.codec.decode(&mut self.stream.input) {
+                Ok(Some(Message::Chunk(Some(chunk)))) => {
+                    if body.len() + chunk.len() > limits.max_body_bytes {
+                        return Err(ReadEnd::Rejected(StatusCode::PAYLOAD_TOO_LARGE));
+                    }
+                    body.extend_from_slice(&chunk);
+                }
+                Ok(Some(Message::Chunk(None))) => return Ok(body.freeze()),
+                Ok(None) => self.fill_until(deadline).await?,
+                Ok(Some(Message::Item(_))) | Err(_) => {
+                    return Err(ReadEnd::Rejected(StatusCode::BAD_REQUEST));
+                }
+            }
+        }
+    }
+
+    async fn fill_until(&mut self, deadline: Instant) -> Result<(), ReadEnd> {
+        match tokio::time::timeout_at(deadline, self.stream.fill()).await {
+            Ok(Ok(0) | Err(_)) => Err(ReadEnd::Closed),
+            Ok(Ok(_)) => Ok(()),
+            // Nothing of the request ran.
+            Err(_elapsed) => Err(ReadEnd::Rejected(StatusCode::REQUEST_TIMEOUT)),
+        }
+    }
+
+    /// Hands a request to the decisions and waits for the answer; `None` if the caller leaves before.
+    async fn forward(&mut self, request: Arc<ForwardRequest>) -> Option<ForwardAnswer> {
+        let reply = self.tx.clone();
+        self.parts
+            .forward
+            .send(ForwardMessage::Ask { request, reply })
+            .ok()?;
+        let mut caller = None;
+        loop {
+            let may_fill = self.stream.input.len() < self.parts.limits.borrow().max_body_bytes;
+            tokio::select! {
+                biased;
+                message = self.rx.recv() => match message? {
+                    CallerMessage::Accepted(key) => caller = Some(key),
+                    CallerMessage::Answer(answer) => return Some(answer),
+                },
+                filled = self.stream.fill(), if may_fill => if matches!(filled, Ok(0) | Err(_)) {
+                    // The decisions have accepted the request before they see anything else of this connection.
+                    while caller.is_none() {
+                        match self.rx.recv().await? {
+                            CallerMessage::Accepted(key) => caller = Some(key),
+                            CallerMessage::Answer(_) => return None,
+                        }
+                    }
+                    let gone = ForwardEvent::CallerGone(caller?);
+                    self.parts.forward.send(ForwardMessage::Event(gone)).ok()?;
+                    return None;
+                },
+            }
+        }
+    }
+
+    /// Writes an answer. Returns whether the connection stays open.
+    async fn write(&mut self, answer: HttpAnswer, close: bool) -> bool {
+        let closing = close || *self.parts.phase.borrow() != ForwardPhase::Open;
+        let mut res = Response::with_body(answer.status, ());
+        *res.headers_mut() = answer.headers;
+        if closing {
+            res.head_mut().set_connection_type(ConnectionType::Close);
+        }
+        let size = BodySize::Sized(answer.body.len() as u64);
+        let out = &mut self.stream.output;
+        let mut encoded = self.codec.encode(Message::Item((res, size)), out);
+        if !answer.body.is_empty() {
+            encoded =
+                encoded.and_then(|()| self.codec.encode(Message::Chunk(Some(answer.body)), out));
+        }
+        encoded = encoded.and_then(|()| self.codec.encode(Message::Chunk(None), out));
+        if let Err(fault) = encoded {
+            warn!(self.parts.log, "answer_not_encoded"; "fault" => %fault);
+            return false;
+        }
+        let written = tokio::time::timeout(WRITE_TIMEOUT, self.stream.flush()).await;
+        matches!(written, Ok(Ok(()))) && !closing && self.codec.keep_alive()
+    }
+}
--- /dev/null
+++ b/crates/node/src/connection_pool.rs
@@ -0,0 +1,143 @@
+//! Connections of this node to one registered upstream.
+
+use crate::{
+    dialect::Dialect,
+    prelude::*,
+    upstream_connection::{
+        self, ConnectionOrder, ConnectionParts, ConnectionReport, ForwardJob, UpstreamConnectionKey,
+    },
+};
+
+/// Longest time since its last reply for which a connection may carry a request that must not run twice. An upstream
+/// may close an idle connection while the request is on its way, and its outcome would then be unknown.
+const FRESH_FOR: Duration = Duration::from_millis(500);
+
+/// Time before the end that the upstream announced for an idle connection at which it is no longer used.
+const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(700);
+
+/// Time for which an idle connection is kept if the upstream announced nothing.
+const IDLE_LIFETIME: Duration = Duration::from_secs(20);
+
+/// Connections to one upstream; each is owned by a task.
+#[derive(Debug)]
+pub(crate) struct ConnectionPool<D> {
+    /// As for each connection, with a null key.
+    parts: ConnectionParts<D>,
+    connections: SlotMap<UpstreamConnectionKey, mpsc::UnboundedSender<ConnectionOrder>>,
+    /// Usable connections with the time of their last reply and the time until which they are used; the one used last
+    /// is taken first, so that surplus ones expire.
+    idle: Vec<IdleConnection>,
+    running: HashMap<AttemptKey, UpstreamConnectionKey>,
+    closing: bool,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct IdleConnection {
+    key: UpstreamConnectionKey,
+    proven: Timestamp,
+    until: Timestamp,
+}
+
+impl<D: Dialect> ConnectionPool<D> {
+    pub(crate) fn new(parts: ConnectionParts<D>) -> Self {
+        Self {
+            parts,
+            connections: SlotMap::with_key(),
+            idle: Vec::new(),
+            running: HashMap::new(),
+            closing: false,
+        }
+    }
+
+    /// Gives a job to an idle connection or a new one. `once` marks a request that must not run twice.
+    pub(crate) fn send(&mut self, now: Timestamp, job: ForwardJob, once: bool) {
+        let attempt = job.attempt;
+        let mut order = ConnectionOrder::Run(job);
+        loop {
+            let key = self
+                .idle_connection(now, once)
+                .unwrap_or_else(|| self.open());
+            self.running.insert(attempt, key);
+            // A task that is ending takes no more orders and hands this one back.
+            match self.connections[key].send(order) {
+                Ok(()) => return,
+                Err(refused) => order = refused.0,
+            }
+            self.connections.remove(key);
+        }
+    }
+
+    /// Tells the connection of an attempt that its reply is not wanted.
+    pub(crate) fn cancel(&self, attempt: AttemptKey) {
+        if let Some(tx) = self
+            .running
+            .get(&attempt)
+            .and_then(|key| self.connections.get(*key))
+        {
+            let _ending = tx.send(ConnectionOrder::Cancel(attempt));
+        }
+    }
+
+    /// Takes account of a report. Returns whether the pool is of no use any more.
+    pub(crate) fn reported(&mut self, now: Timestamp, report: &ConnectionReport) -> bool {
+        if let Some(end) = &report.end {
+            self.running.remove(&end.attempt);
+        }
+        let key = report.connection;
+        if report.reusable && !self.closing && self.connections.contains_key(key) {
+            let lifetime = report
+                .keep_alive
+                .map_or(IDLE_LIFETIME, |time| time.saturating_sub(KEEP_ALIVE_MARGIN));
+            self.idle.push(IdleConnection {
+                key,
+                proven: now,
+                until: now + lifetime,
+            });
+        } else {
+            self.idle.retain(|idle| idle.key != key);
+            self.connections.remove(key);
+        }
+        self.is_done()
+    }
+
+    /// Closes idle connections; the others close after their reply. Returns whether none is left.
+    pub(crate) fn close(&mut self) -> bool {
+        self.closing = true;
+        for idle in self.idle.drain(..) {
+            self.connections.remove(idle.key);
+        }
+        self.is_done()
+    }
+
+    /// Connections that are open or opening.
+    pub(crate) fn len(&self) -> usize {
+        self.connections.len()
+    }
+
+    fn is_done(&self) -> bool {
+        self.closing && self.running.is_empty()
+    }
+
+    fn idle_connection(&mut self, now: Timestamp, once: bool) -> Option<UpstreamConnectionKey> {
+        while let Some(idle) = self.idle.pop() {
+            let usable = idle.until > now && (!once || now.since(idle.proven) <= FRESH_FOR);
+            if usable {
+                return Some(idle.key);
+            }
+            // Dropping the sender ends the task, and with it the socket.
+            self.connections.remove(idle.key);
+        }
+        None
+    }
+
+    fn open(&mut self) -> UpstreamConnectionKey {
+        let (tx, rx) = mpsc::unbounded_channel();
+        let key = self.connections.insert(tx);
+        let parts = ConnectionParts {
+            key,
+            ..self.parts.clone()
+        };
+        actix_rt::spawn(upstream_connection::run(parts, rx));
+        key
+    }
+}
--- /dev/null
+++ b/crates/node/src/forward_log.rs
@@ -0,0 +1,53 @@
+//! Log lines of the decisions about forwarded requests.
+
+use crate::prelude::*;
+
+/// Writes the line of one decision. Answers that are complete and in time are not written; they are counted.
+pub(crate) fn write(log: &Logger, note: &ForwardNote) {
+    match note {
+        ForwardNote::Extra {
+            request,
+            service,
+            instance,
+            cause,
+            budget_left,
+        } => debug!(log, "extra_attempt"; "request" => &**request, "service" => &**service,
+            "instance" => &**instance, "cause" => *cause, "budget_left" => *budget_left),
+        ForwardNote::GaveUp {
+            request,
+            service,
+            cause,
+            sent,
+        } => info!(log, "shard_given_up"; "request" => &**request, "service" => &**service,
+            "cause" => *cause, "sent" => *sent),
+        ForwardNote::Answered {
+            request,
+            route,
+            outcome,
+            covered,
+            shards,
+            elapsed,
+            version,
+        } => {
+            let calm = matches!(*outcome, "reply" | "merged") && covered == shards;
+            if !calm {
+                info!(log, "answered"; "request" => &**request, "route" => &**route, "outcome" => *outcome,
+                    "covered" => *covered, "shards" => *shards, "elapsed_ms" => elapsed.as_millis() as u64,
+                    "version" => *version);
+            }
+        }
+        ForwardNote::Upstream {
+            instance,
+            service,
+            from,
+            to,
+            cause,
+            silent_for,
+        } => info!(log, "upstream_changed"; "instance" => &**instance, "service" => &**service,
+            "from" => from.name(), "to" => to.name(), "cause" => cause.name(),
+            "silent_ms" => silent_for.as_millis() as u64),
+        ForwardNote::InForce { version, routes } => {
+            info!(log, "configuration_in_force"; "version" => *version, "routes" => *routes);
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/forward_metrics.rs
@@ -0,0 +1,84 @@
+//! Counters and histograms of forwarded requests.
+
+use crate::prelude::*;
+use prometheus::{HistogramOpts, HistogramVec, IntCounterVec, Opts, Registry};
+
+/// Upper bounds of the buckets of answer times, in seconds.
+const BUCKETS: [f64; 12] = [
+    0.005, 0.01, 0.02, 0.04, 0.06, 0.08, 0.12, 0.25, 0.5, 1.0, 2.0, 5.0,
+];
+
+/// Counters and histograms of forwarded requests.
+#[derive(Clone, Debug)]
+pub struct ForwardMetrics {
+    answers: HistogramVec,
+    attempts: IntCounterVec,
+    extra: IntCounterVec,
+    given_up: IntCounterVec,
+    beliefs: IntCounterVec,
+}
+
+impl ForwardMetrics {
+    /// Registers the metrics.
+    ///
+    /// # Errors
+    ///
+    /// If the registry has metrics of the same names.
+    pub fn register(registry: &Registry) -> prometheus::Result<Self> {
+        let counter = |name: &str, help: &str, label: &str| {
+            let counter = IntCounterVec::new(Opts::new(name, help), &[label])?;
+            registry.register(Box::new(counter.clone()))?;
+            Ok::<_, prometheus::Error>(counter)
+        };
+        let options = HistogramOpts::new(
+            "medlarpost_forward_answer_seconds",
+            "Time from a caller's request to its answer, by outcome",
+        );
+        let answers = HistogramVec::new(options.buckets(BUCKETS.to_vec()), &["outcome"])?;
+        registry.register(Box::new(answers.clone()))?;
+        Ok(Self {
+            answers,
+            attempts: counter(
+                "medlarpost_forward_attempts_total",
+                "Attempts at upstreams that ended, by outcome",
+                "outcome",
+            )?,
+            extra: counter(
+                "medlarpost_forward_extra_total",
+                "Attempts beyond the first one of a shard, by cause",
+                "cause",
+            )?,
+            given_up: counter(
+                "medlarpost_forward_given_up_total",
+                "Shards that were given up, by the last outcome",
+                "cause",
+            )?,
+            beliefs: counter(
+                "medlarpost_forward_upstream_changes_total",
+                "Changes of the belief about an upstream, by the new belief",
+                "to",
+            )?,
+        })
+    }
+
+    /// Counts the end of an attempt.
+    pub(crate) fn attempt_ended(&self, outcome: &str) {
+        self.attempts.with_label_values(&[outcome]).inc();
+    }
+
+    /// Counts a decision.
+    pub(crate) fn noted(&self, note: &ForwardNote) {
+        match note {
+            ForwardNote::Extra { cause, .. } => self.extra.with_label_values(&[*cause]).inc(),
+            ForwardNote::GaveUp { cause, .. } => self.given_up.with_label_values(&[*cause]).inc(),
+            ForwardNote::Answered {
+                outcome, elapsed, ..
+            } => self
+                .answers
+                .with_label_values(&[*outcome])
+                .observe(elapsed.as_secs_f64()),
+            ForwardNote::Upstream { to, .. } => self.beliefs.with_label_values(&[to.name()]).inc(),
+            ForwardNote::InForce { .. } => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/forward_node.rs
@@ -0,0 +1,316 @@
+//! A node that forwards requests: its listeners and tasks.
+
+use crate::{
+    caller_connection::{self, CallerParts},
+    dialect::Dialect,
+    forward_metrics::ForwardMetrics,
+    forward_task::{self, ForwardMessage, ForwardParts, ForwardSender, ForwardStatus},
+    http_server::{self, ServerPhase},
+    prelude::*,
+    registry::Registry,
+    registry_watcher::{RegistryWatcher, WatchTerms},
+};
+use actix_http::{Method, ServiceConfig, StatusCode};
+use prometheus::TextEncoder;
+use tokio::{net::TcpSocket, time::Instant};
+
+pub use crate::caller_connection::ForwardPhase;
+
+/// Connections that may wait to be accepted. A connection beyond them opens seconds later.
+const BACKLOG: u32 = 4096;
+
+/// Pause after a failed accept, which mostly means that descriptors have run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+
+/// How often a draining node looks whether requests still run.
+const DRAIN_POLL: Duration = Duration::from_millis(50);
+
+/// Settings of a node that forwards requests.
+#[derive(Clone, Debug)]
+pub struct ForwardNodeSettings {
+    /// Listener for callers.
+    pub callers: SocketAddr,
+    /// Listener for readiness checks.
+    pub readiness: SocketAddr,
+    /// Listener for metrics.
+    pub metrics: SocketAddr,
+    /// Limits and the place of this node.
+    pub forwarder: ForwarderSettings,
+    /// How the registry is followed.
+    pub watch: WatchTerms,
+    /// Time after the end of readiness for which new connections may still come.
+    pub balancer_lag: Duration,
+    /// Time from the request to stop until the process must have ended.
+    pub stop_within: Duration,
+}
+
+/// A node before its start: its listeners are bound.
+#[derive(Debug)]
+pub struct Bound {
+    callers: tokio::net::TcpListener,
+    readiness: std::net::TcpListener,
+    metrics: std::net::TcpListener,
+}
+
+/// A node that serves.
+#[derive(Debug)]
+pub struct Serving {
+    forward: ForwardSender,
+    phase: watch::Sender<ForwardPhase>,
+    ready: watch::Sender<Readiness>,
+    open: mpsc::Receiver<std::convert::Infallible>,
+}
+
+/// A node that forwards requests, in one phase of its life.
+#[derive(Debug)]
+pub struct ForwardNode<Phase> {
+    settings: ForwardNodeSettings,
+    log: Logger,
+    phase: Phase,
+}
+
+/// Whether new connections are wanted.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Readiness {
+    /// Requests can be answered.
+    pub able: bool,
+    /// The process is about to end.
+    pub draining: bool,
+}
+
+impl ForwardNode<Bound> {
+    /// Binds the listeners.
+    ///
+    /// # Errors
+    ///
+    /// If an address can't be bound.
+    pub fn bind(settings: ForwardNodeSettings, log: Logger) -> Result<Self, NodeError> {
+        let listen = |address: SocketAddr| {
+            std::net::TcpListener::bind(address).context(node_error::ListenSnafu { address })
+        };
+        let address = settings.callers;
+        let phase = Bound {
+            callers: listen_callers(address).context(node_error::ListenSnafu { address })?,
+            readiness: listen(settings.readiness)?,
+            metrics: listen(settings.metrics)?,
+        };
+        Ok(Self {
+            settings,
+            log,
+            phase,
+        })
+    }
+
+    /// Starts the tasks on the calling thread's runtime.
+    ///
+    /// # Errors
+    ///
+    /// If an embedded chart is faulty or metrics have the same name.
+    pub fn start<D: Dialect, R: Registry>(
+        self,
+        dialect: D,
+        registry: R,
+    ) -> Result<ForwardNode<Serving>, NodeError> {
+        let Self {
+            settings,
+            log,
+            phase: bound,
+        } = self;
+        let forwarder =
+            Forwarder::new(settings.forwarder.clone()).context(node_error::ChartSnafu)?;
+        let metrics_registry = prometheus::Registry::new();
+        let metrics =
+            ForwardMetrics::register(&metrics_registry).context(node_error::MetricsSnafu)?;
+        let (forward, forward_rx) = mpsc::unbounded_channel();
+        let (limits, limits_rx) = watch::channel(CallerLimits::default());
+        let (phase, phase_rx) = watch::channel(ForwardPhase::Open);
+        let (ready, ready_rx) = watch::channel(Readiness::default());
+        let (server_phase, server_phase_rx) = watch::channel(ServerPhase::Open);
+        let config = ServiceConfig::default();
+        let parts = ForwardParts {
+            dialect: dialect.clone(),
+            forwarder,
+            clock: Clock::start(),
+            config: config.clone(),
+            metrics,
+            log: log.clone(),
+            limits,
+            ready: ready.clone(),
+        };
+        actix_rt::spawn(forward_task::run(parts, forward.clone(), forward_rx));
+        let watcher = RegistryWatcher::new(registry, settings.watch, forward.clone(), log.clone());
+        actix_rt::spawn(watcher.run());
+        let workers = Workers::current();
+        let readiness = ReadinessPage { ready: ready_rx };
+        spawn_server(bound.readiness, readiness, &server_phase_rx, &workers, &log);
+        let metrics = MetricsPage {
+            registry: metrics_registry,
+        };
+        spawn_server(bound.metrics, metrics, &server_phase_rx, &workers, &log);
+        let (open_tx, open) = mpsc::channel(1);
+        let callers = CallerParts {
+            dialect,
+            forward: forward.clone(),
+            limits: limits_rx,
+            phase: phase_rx,
+            config,
+            log: log.clone(),
+        };
+        // The pages of a stopping node are served until its process ends.
+        actix_rt::spawn(async move {
+            let _kept = server_phase;
+            accept_callers(bound.callers, callers, open_tx).await;
+        });
+        info!(log, "node_started"; "callers" => %settings.callers, "zone" => &*settings.forwarder.zone);
+        Ok(ForwardNode {
+            settings,
+            log,
+            phase: Serving {
+                forward,
+                phase,
+                ready,
+                open,
+            },
+        })
+    }
+}
+
+impl ForwardNode<Serving> {
+    /// Follows changed settings, of which only limits and lags can change while a node serves.
+    pub fn reload(&mut self, settings: &ForwardNodeSettings) {
+        info!(self.log, "settings_reloaded"; "zone" => &*settings.forwarder.zone);
+        self.settings.balancer_lag = settings.balancer_lag;
+        self.settings.stop_within = settings.stop_within;
+    }
+
+    /// What the node knows, or `None` if its task has ended.
+    pub async fn status(&self) -> Option<ForwardStatus> {
+        let (tx, rx) = oneshot::channel();
+        self.phase.forward.send(ForwardMessage::Status(tx)).ok()?;
+        rx.await.ok()
+    }
+
+    /// Stops gracefully: fails the readiness check, answers what comes for as long as the balancer may still send
+    /// connections, and returns when nothing runs or the time is over.
+    pub async fn drain(mut self) {
+        let started = Instant::now();
+        info!(self.log, "node_draining"; "stop_within_ms" => self.settings.stop_within.as_millis() as u64);
+        self.phase.ready.send_modify(|ready| ready.draining = true);
+        self.phase.phase.send_replace(ForwardPhase::Closing);
+        let latest = started + self.settings.stop_within;
+        tokio::time::sleep_until((started + self.settings.balancer_lag).min(latest)).await;
+        while Instant::now() < latest {
+            let running = self.status().await.map_or(0, |status| status.running);
+            if running == 0 {
+                break;
+            }
+            tokio::time::sleep(DRAIN_POLL).await;
+        }
+        self.phase.phase.send_replace(ForwardPhase::Ending);
+        // Answers that are being written reach their callers.
+        let closed = tokio::time::timeout_at(latest, self.phase.open.recv()).await;
+        info!(self.log, "node_stopped"; "all_connections_closed" => closed.is_ok(),
+            "after_ms" => started.elapsed().as_millis() as u64);
+    }
+}
+
+fn listen_callers(address: SocketAddr) -> std::io::Result<tokio::net::TcpListener> {
+    let socket = if address.is_ipv4() {
+        TcpSocket::new_v4()?
+    } else {
+        TcpSocket::new_v6()?
+    };
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
+async fn accept_callers<D: Dialect>(
+    listener: tokio::net::TcpListener,
+    parts: CallerParts<D>,
+    open: mpsc::Sender<std::convert::Infallible>,
+) {
+    let mut phase = parts.phase.clone();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            changed = phase.changed() => {
+                if changed.is_err() || *phase.borrow() == ForwardPhase::Ending {
+                    return;
+                }
+                continue;
+            }
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                let (parts, open) = (parts.clone(), open.clone());
+                actix_rt::spawn(async move {
+                    caller_connection::run(stream, parts).await;
+                    drop(open);
+                });
+            }
+            Err(fault) => {
+                warn!(parts.log, "accept_failed"; "fault" => %fault);
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+fn spawn_server<H: Handler>(
+    listener: std::net::TcpListener,
+    handler: H,
+    phase: &watch::Receiver<ServerPhase>,
+    workers: &Workers,
+    log: &Logger,
+) {
+    let (phase, workers, log) = (phase.clone(), workers.clone(), log.clone());
+    actix_rt::spawn(async move {
+        if let Err(fault) = http_server::serve(listener, handler, phase, workers).await {
+            error!(log, "listener_lost"; "fault" => %fault);
+        }
+    });
+}
+
+/// Answers the balancer's checks.
+#[derive(Clone, Debug)]
+struct ReadinessPage {
+    ready: watch::Receiver<Readiness>,
+}
+
+impl Handler for ReadinessPage {
+    async fn respond(&self, _req: HttpRequest) -> HttpReply {
+        let ready = *self.ready.borrow();
+        match ready {
+            Readiness {
+                able: true,
+                draining: false,
+            } => HttpReply::text(StatusCode::OK, "ready"),
+            Readiness { draining: true, .. } => {
+                HttpReply::text(StatusCode::SERVICE_UNAVAILABLE, "draining")
+            }
+            Readiness { able: false, .. } => HttpReply::text(
+                StatusCode::SERVICE_UNAVAILABLE,
+                "no configuration or no upstreams",
+            ),
+        }
+    }
+}
+
+/// Shows the metrics.
+#[derive(Clone, Debug)]
+struct MetricsPage {
+    registry: prometheus::Registry,
+}
+
+impl Handler for MetricsPage {
+    async fn respond(&self, req: HttpRequest) -> HttpReply {
+        if req.method != Method::GET || req.path != "/metrics" {
+            return HttpReply::text(StatusCode::NOT_FOUND, "metrics are at /metrics");
+        }
+        match TextEncoder::new().encode_to_string(&self.registry.gather()) {
+            Ok(text) => HttpReply::text(StatusCode::OK, text),
+            Err(fault) => HttpReply::text(StatusCode::INTERNAL_SERVER_ERROR, fault.to_string()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/forward_task.rs
@@ -0,0 +1,252 @@
+//! The task that owns the decisions about forwarded requests and the pools of connections.
+
+use crate::{
+    connection_pool::ConnectionPool,
+    dialect::Dialect,
+    forward_metrics::ForwardMetrics,
+    forward_node::Readiness,
+    prelude::*,
+    upstream_connection::{ConnectionParts, ConnectionReport, ForwardJob, UpstreamConnectionKey},
+};
+use actix_http::ServiceConfig;
+use slotmap::{Key as _, SecondaryMap};
+
+/// Input of the task.
+#[derive(Debug)]
+pub enum ForwardMessage {
+    /// For the decisions.
+    Event(ForwardEvent),
+    /// A caller asks.
+    Ask {
+        /// What it asks.
+        request: Arc<ForwardRequest>,
+        /// Where the answer goes.
+        reply: mpsc::UnboundedSender<CallerMessage>,
+    },
+    /// From the task of a connection to an upstream.
+    #[expect(private_interfaces, reason = "only the tasks of this crate send it")]
+    Connection(ConnectionReport),
+    /// Ask for what the administrators' page shows.
+    Status(oneshot::Sender<ForwardStatus>),
+}
+
+/// What the task knows, for readiness, metrics and a graceful stop.
+#[derive(Clone, Debug, Default)]
+pub struct ForwardStatus {
+    /// Whether requests can be answered.
+    pub able: bool,
+    /// Requests without an answer.
+    pub running: usize,
+    /// Version of the configuration in force.
+    pub version: Option<u64>,
+    /// Upstreams by what the node believes of them.
+    pub upstreams: BTreeMap<&'static str, usize>,
+    /// Connections to upstreams.
+    pub connections: usize,
+}
+
+/// Sends messages to the task. Callers wait for their answers and upstreams for their requests, so that the queue is
+/// bounded by the number of connections.
+pub type ForwardSender = mpsc::UnboundedSender<ForwardMessage>;
+
+/// What a caller's connection is told.
+#[derive(Debug)]
+pub enum CallerMessage {
+    /// The decisions know the request by this key.
+    Accepted(CallerKey),
+    /// The final answer.
+    Answer(ForwardAnswer),
+}
+
+/// Surroundings of the task.
+#[derive(Debug)]
+pub struct ForwardParts<D> {
+    /// Translation of HTTP messages.
+    pub dialect: D,
+    /// The decisions.
+    pub forwarder: Forwarder,
+    /// Clock of the process.
+    pub clock: Clock,
+    /// HTTP settings, shared because each would keep a clock of its own.
+    pub config: ServiceConfig,
+    /// Counters.
+    pub metrics: ForwardMetrics,
+    /// Log of the node.
+    pub log: Logger,
+    /// What callers may send, for their connections.
+    pub limits: watch::Sender<CallerLimits>,
+    /// Whether requests can be answered.
+    pub ready: watch::Sender<Readiness>,
+}
+
+struct ForwardTask<D> {
+    parts: ForwardParts<D>,
+    tx: ForwardSender,
+    pools: SecondaryMap<UpstreamKey, ConnectionPool<D>>,
+    callers: SlotMap<CallerKey, mpsc::UnboundedSender<CallerMessage>>,
+    commands: Vec<ForwardCommand>,
+}
+
+/// Runs the task until every sender of messages is gone.
+pub async fn run<D: Dialect>(
+    parts: ForwardParts<D>,
+    tx: ForwardSender,
+    mut rx: mpsc::UnboundedReceiver<ForwardMessage>,
+) {
+    let mut task = ForwardTask {
+        parts,
+        tx,
+        pools: SecondaryMap::new(),
+        callers: SlotMap::with_key(),
+        commands: Vec::new(),
+    };
+    let timer = tokio::time::sleep(Duration::ZERO);
+    tokio::pin!(timer);
+    loop {
+        let wakeup = task.parts.forwarder.next_wakeup();
+        if let Some(at) = wakeup {
+            let instant = task.parts.clock.instant(at);
+            if timer.deadline() != instant {
+                timer.as_mut().reset(instant);
+            }
+        }
+        tokio::select! {
+            biased;
+            message = rx.recv() => match message {
+                Some(message) => task.take(message),
+                None => return,
+            },
+            () = &mut timer, if wakeup.is_some() => task.handle(ForwardEvent::Wakeup),
+        }
+    }
+}
+
+impl<D: Dialect> ForwardTask<D> {
+    fn take(&mut self, message: ForwardMessage) {
+        match message {
+            ForwardMessage::Event(event) => {
+                if let ForwardEvent::Configured(table) = &event {
+                    self.parts.limits.send_replace(table.limits);
+                }
+                if let ForwardEvent::CallerGone(caller) = event {
+                    self.callers.remove(caller);
+                }
+                self.handle(event);
+                let able = self.parts.forwarder.is_able();
+                self.parts.ready.send_if_modified(|ready| {
+                    let changed = ready.able != able;
+                    ready.able = able;
+                    changed
+                });
+            }
+            ForwardMessage::Ask { request, reply } => {
+                let caller = self.callers.insert(reply.clone());
+                // A caller that has left is found by its next message.
+                let _left = reply.send(CallerMessage::Accepted(caller));
+                self.handle(ForwardEvent::Request { caller, request });
+            }
+            ForwardMessage::Connection(report) => self.reported(report),
+            ForwardMessage::Status(reply) => {
+                // Whoever asked may have given up.
+                let _gone = reply.send(self.status());
+            }
+        }
+    }
+
+    fn reported(&mut self, report: ConnectionReport) {
+        let upstream = report.upstream;
+        let now = self.parts.clock.now();
+        if let Some(pool) = self.pools.get_mut(upstream)
+            && pool.reported(now, &report)
+        {
+            self.pools.remove(upstream);
+        }
+        if let Some(end) = report.end {
+            self.parts.metrics.attempt_ended(end.outcome.name());
+            self.handle(ForwardEvent::Finished(end));
+        }
+    }
+
+    fn handle(&mut self, event: ForwardEvent) {
+        let now = self.parts.clock.now();
+        let mut commands = std::mem::take(&mut self.commands);
+        self.parts.forwarder.handle(now, event, &mut commands);
+        for command in commands.drain(..) {
+            self.carry_out(now, command);
+        }
+        self.commands = commands;
+    }
+
+    fn carry_out(&mut self, now: Timestamp, command: ForwardCommand) {
+        match command {
+            ForwardCommand::Open {
+                upstream,
+                address,
+                instance,
+            } => {
+                let parts = ConnectionParts {
+                    key: UpstreamConnectionKey::null(),
+                    upstream,
+                    address,
+                    instance,
+                    dialect: self.parts.dialect.clone(),
+                    forward: self.tx.clone(),
+                    clock: self.parts.clock,
+                    config: self.parts.config.clone(),
+                };
+                self.pools.insert(upstream, ConnectionPool::new(parts));
+            }
+            ForwardCommand::Close(upstream) => {
+                if self
+                    .pools
+                    .get_mut(upstream)
+                    .is_some_and(ConnectionPool::close)
+                {
+                    self.pools.remove(upstream);
+                }
+            }
+            ForwardCommand::Send {
+                attempt,
+                upstream,
+                request,
+                deadline,
+                once,
+            } => {
+                let job = ForwardJob {
+                    attempt,
+                    request,
+                    deadline,
+                };
+                if let Some(pool) = self.pools.get_mut(upstream) {
+                    pool.send(now, job, once);
+                }
+            }
+            ForwardCommand::Cancel { attempt, upstream } => {
+                if let Some(pool) = self.pools.get(upstream) {
+                    pool.cancel(attempt);
+                }
+            }
+            ForwardCommand::Answer { caller, answer } => {
+                if let Some(reply) = self.callers.remove(caller) {
+                    // A caller that has left gets no answer.
+                    let _left = reply.send(CallerMessage::Answer(answer));
+                }
+            }
+            ForwardCommand::Note(note) => {
+                self.parts.metrics.noted(&note);
+                crate::forward_log::write(&self.parts.log, &note);
+            }
+        }
+    }
+
+    fn status(&self) -> ForwardStatus {
+        let forwarder = &self.parts.forwarder;
+        ForwardStatus {
+            able: forwarder.is_able(),
+            running: forwarder.running(),
+            version: forwarder.version(),
+            upstreams: forwarder.upstream_counts(),
+            connections: self.pools.values().map(ConnectionPool::len).sum(),
+        }
+    }
+}
--- a/crates/node/src/node_error.rs
+++ b/crates/node/src/node_error.rs
@@ -23,6 +23,12 @@
         /// What the system said.
         source: std::io::Error,
     },
+    /// Two metrics have the same name.
+    #[snafu(display("metrics: {source}; report this as a defect"))]
+    Metrics {
+        /// The fault.
+        source: prometheus::Error,
+    },
     /// The platform gave no valid answer.
     #[snafu(display("platform: {detail}; check --platform and the platform's state"))]
     Platform {
--- /dev/null
+++ b/crates/node/src/registry.rs
@@ -0,0 +1,83 @@
+//! What a platform publishes, as the node reads it.
+
+use crate::prelude::*;
+
+/// A published source of configuration and upstreams that can be listed and watched.
+pub trait Registry: 'static {
+    /// Reads all documents.
+    fn list(&self) -> impl Future<Output = Result<Listing, RegistryFault>>;
+
+    /// Waits for changes after a revision, for `wait` at most.
+    fn watch(
+        &self,
+        after: u64,
+        wait: Duration,
+    ) -> impl Future<Output = Result<Changes, RegistryFault>>;
+}
+
+/// All documents.
+#[derive(Clone, Debug)]
+pub struct Listing {
+    /// Revision from which to watch.
+    pub revision: u64,
+    /// What is published.
+    pub documents: Vec<Document>,
+}
+
+/// Changes in their order.
+#[derive(Clone, Debug)]
+pub struct Changes {
+    /// Revision from which to watch on.
+    pub revision: u64,
+    /// What changed.
+    pub changes: Vec<Change>,
+}
+
+/// A published document.
+#[derive(Clone, Debug)]
+pub enum Document {
+    /// The newest configuration.
+    Configuration(Arc<RoutingTable>),
+    /// A zone that operators have taken out.
+    ZoneOut(Arc<str>),
+    /// An upstream's entry.
+    Upstream(RegisteredUpstream),
+    /// An entry of an upstream that can't be read and names none to use.
+    Unreadable {
+        /// Instance that it belongs to.
+        instance: Arc<str>,
+        /// What is wrong.
+        reason: String,
+    },
+    /// A configuration that can't be read; the last one stays in force.
+    UnreadableConfiguration {
+        /// What is wrong.
+        reason: String,
+    },
+}
+
+/// A change of one document.
+#[derive(Clone, Debug)]
+pub enum Change {
+    /// It was written.
+    Written(Document),
+    /// The zone takes work again.
+    ZoneBack(Arc<str>),
+    /// The entry of this instance is gone.
+    UpstreamGone(Arc<str>),
+}
+
+/// Why the registry gave nothing.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Snafu)]
+pub enum RegistryFault {
+    /// The changes after the revision are no longer known; list again.
+    #[snafu(display("the history after the revision is gone"))]
+    HistoryLost,
+    /// No reply, or one that says to come back.
+    #[snafu(display("no answer: {reason}"))]
+    Unavailable {
+        /// What came instead.
+        reason: String,
+    },
+}
--- /dev/null
+++ b/crates/node/src/upstream_connection.rs
@@ -0,0 +1,384 @@
+//! One connection to a registered upstream: one request at a time, every byte of the reply accounted for.
+
+use crate::{
+    dialect::Dialect,
+    forward_task::{ForwardMessage, ForwardSender},
+    http_stream::HttpStream,
+    prelude::*,
+};
+use actix_http::{
+    ResponseHead, ServiceConfig, StatusCode,
+    body::BodySize,
+    h1::{ClientCodec, ClientPayloadCodec, Message, MessageType},
+    header,
+};
+use bytes::BytesMut;
+use slotmap::new_key_type;
+use tokio::{net::TcpStream, time::Instant};
+use tokio_util::codec::{Decoder as _, Encoder as _};
+
+new_key_type! {
+    /// A connection to a registered upstream.
+    pub struct UpstreamConnectionKey;
+}
+
+/// Time that a connection has to open.
+const OPEN_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// Time for which the reply to a cancelled attempt may still come before its connection is closed. It spares most
+/// connections, and an upstream that takes longer stops its work.
+const CANCEL_GRACE: Duration = Duration::from_millis(150);
+
+/// Longest body of a reply, in bytes.
+const MAX_REPLY_BYTES: usize = 8 * 1024 * 1024;
+
+/// Longest head of a reply, in bytes.
+const MAX_REPLY_HEAD_BYTES: usize = 32 * 1024;
+
+/// What a connection's task is told.
+#[derive(Debug)]
+pub(crate) enum ConnectionOrder {
+    /// Exchange one request and its reply.
+    Run(ForwardJob),
+    /// The reply of this attempt is no longer wanted.
+    Cancel(AttemptKey),
+}
+
+/// One attempt.
+#[derive(Clone, Debug)]
+pub(crate) struct ForwardJob {
+    pub(crate) attempt: AttemptKey,
+    pub(crate) request: Arc<ForwardRequest>,
+    pub(crate) deadline: Timestamp,
+}
+
+/// Surroundings of a connection's task.
+#[derive(Clone, Debug)]
+pub(crate) struct ConnectionParts<D> {
+    pub(crate) key: UpstreamConnectionKey,
+    pub(crate) upstream: UpstreamKey,
+    pub(crate) address: SocketAddr,
+    pub(crate) instance: Arc<str>,
+    pub(crate) dialect: D,
+    pub(crate) forward: ForwardSender,
+    pub(crate) clock: Clock,
+    pub(crate) config: ServiceConfig,
+}
+
+/// What a connection's task reports.
+#[derive(Debug)]
+pub(crate) struct ConnectionReport {
+    pub(crate) upstream: UpstreamKey,
+    pub(crate) connection: UpstreamConnectionKey,
+    /// End of an attempt, if one ended.
+    pub(crate) end: Option<AttemptEnd>,
+    /// Whether the connection takes another request.
+    pub(crate) reusable: bool,
+    /// How long the upstream keeps it open without a request, if it said so.
+    pub(crate) keep_alive: Option<Duration>,
+}
+
+struct UpstreamConnection<D> {
+    parts: ConnectionParts<D>,
+    rx: mpsc::UnboundedReceiver<ConnectionOrder>,
+    stream: Option<HttpStream>,
+}
+
+/// How an exchange ended.
+struct Exchange {
+    outcome: ForwardOutcome,
+    load: Option<ReportedLoad>,
+    reusable: bool,
+    keep_alive: Option<Duration>,
+}
+
+impl Exchange {
+    fn failed(outcome: ForwardOutcome) -> Self {
+        Self {
+            outcome,
+            load: None,
+            reusable: false,
+            keep_alive: None,
+        }
+    }
+}
+
+/// Runs a connection's task until the connection ends or the pool drops it.
+pub(crate) async fn run<D: Dialect>(
+    parts: ConnectionParts<D>,
+    rx: mpsc::UnboundedReceiver<ConnectionOrder>,
+) {
+    let mut connection = UpstreamConnection {
+        parts,
+        rx,
+        stream: None,
+    };
+    while let Some(job) = connection.next_job().await {
+        let mut exchange = connection.exchange(&job).await;
+        exchange.reusable &= !connection.rx.is_closed();
+        let reusable = exchange.reusable;
+        connection.report(job.attempt, exchange);
+        if !reusable {
+            return;
+        }
+    }
+    connection.send(None, false, None);
+}
+
+impl<D: Dialect> UpstreamConnection<D> {
+    /// Waits for the next request; `None` once the connection ends without one.
+    async fn next_job(&mut self) -> Option<ForwardJob> {
+        loop {
+            let order = match &mut self.stream {
+                None => self.rx.recv().await,
+                Some(stream) => tokio::select! {
+                    biased;
+                    order = self.rx.recv() => order,
+                    // Bytes that belong to no request, or the end of the connection. A request that is already queued
+                    // gets a new connection.
+                    _filled = stream.fill() => {
+                        self.stream = None;
+                        self.rx.close();
+                        continue;
+                    }
+                },
+            };
+            match order? {
+                ConnectionOrder::Run(job) => return Some(job),
+                // The attempt ended before the order came.
+                ConnectionOrder::Cancel(_) => {}
+            }
+        }
+    }
+
+    async fn exchange(&mut self, job: &ForwardJob) -> Exchange {
+        let deadline = self.parts.clock.instant(job.deadline);
+        let Some(mut stream) = self.connected(deadline).await else {
+            return Exchange::failed(ForwardOutcome::NotSent);
+        };
+        let mut codec = ClientCodec::new(self.parts.config.clone());
+        if !self.encode(job, &mut codec, &mut stream) {
+            return Exchange::failed(ForwardOutcome::NotSent);
+        }
+        let outcome = self.await_reply(job, deadline, &mut stream, codec).await;
+        match outcome {
+            Ok(reply) => {
+                let keep_alive = reply.keep_alive();
+                let reusable = reply.reusable && stream.input.is_empty();
+                let (outcome, load) =
+                    self.parts
+                        .dialect
+                        .upstream_reply(&job.request, &reply.head, reply.body);
+                let reusable = reusable && outcome != ForwardOutcome::Invalid;
+                if reusable {
+                    stream.shrink();
+                    self.stream = Some(stream);
+                }
+                Exchange {
+                    outcome,
+                    load,
+                    reusable,
+                    keep_alive,
+                }
+            }
+            Err(outcome) => Exchange::failed(outcome),
+        }
+    }
+
+    /// Reads the reply until the deadline, or for a little longer once it is no longer wanted.
+    async fn await_reply(
+        &mut self,
+        job: &ForwardJob,
+        deadline: Instant,
+        stream: &mut HttpStream,
+        codec: ClientCodec,
+    ) -> Result<RawReply, ForwardOutcome> {
+        let mut until = deadline;
+        let mut cancelled = false;
+        let reply = read_reply(stream, codec);
+        tokio::pin!(reply);
+        loop {
+            tokio::select! {
+                biased;
+                reply = &mut reply => break reply,
+                order = self.rx.recv(), if !cancelled => match order {
+                    Some(ConnectionOrder::Cancel(attempt)) if attempt != job.attempt => {}
+                    // The pool drops a connection only when its upstream ends.
+                    Some(ConnectionOrder::Cancel(_) | ConnectionOrder::Run(_)) | None => {
+                        cancelled = true;
+                        until = until.min(Instant::now() + CANCEL_GRACE);
+                    }
+                },
+                () = tokio::time::sleep_until(until) => break Err(if cancelled {
+                    ForwardOutcome::Cancelled
+                } else {
+                    ForwardOutcome::Silent
+                }),
+            }
+        }
+    }
+
+    /// The open connection if it is usable, or a new one.
+    async fn connected(&mut self, deadline: Instant) -> Option<HttpStream> {
+        if let Some(mut stream) = self.stream.take()
+            && stream.is_quiet()
+        {
+            return Some(stream);
+        }
+        let until = deadline.min(Instant::now() + OPEN_TIMEOUT);
+        let opened = tokio::time::timeout_at(until, TcpStream::connect(self.parts.address)).await;
+        Some(HttpStream::new(opened.ok()?.ok()?))
+    }
+
+    fn encode(&self, job: &ForwardJob, codec: &mut ClientCodec, stream: &mut HttpStream) -> bool {
+        let time_left = job.deadline.since(self.parts.clock.now());
+        let head =
+            self.parts
+                .dialect
+                .upstream_request(&job.request, &self.parts.instance, time_left);
+        let Some(head) = head else {
+            return false;
+        };
+        let body = &job.request.body;
+        let size = if body.is_empty() {
+            BodySize::None
+        } else {
+            BodySize::Sized(body.len() as u64)
+        };
+        let out = &mut stream.output;
+        let mut encoded = codec.encode(Message::Item((head.into(), size)), out);
+        if !body.is_empty() {
+            encoded = encoded
+                .and_then(|()| codec.encode(Message::Chunk(Some(body.clone())), out))
+                .and_then(|()| codec.encode(Message::Chunk(None), out));
+        }
+        encoded.is_ok()
+    }
+
+    fn report(&self, attempt: AttemptKey, exchange: Exchange) {
+        let end = AttemptEnd {
+            attempt,
+            outcome: exchange.outcome,
+            load: exchange.load,
+        };
+        self.send(Some(end), exchange.reusable, exchange.keep_alive);
+    }
+
+    fn send(&self, end: Option<AttemptEnd>, reusable: bool, keep_alive: Option<Duration>) {
+        let report = ConnectionReport {
+            upstream: self.parts.upstream,
+            connection: self.parts.key,
+            end,
+            reusable,
+            keep_alive,
+        };
+        // The receiver ends only with the process.
+        let _ended = self.parts.forward.send(ForwardMessage::Connection(report));
+    }
+}
+
+/// A complete reply.
+struct RawReply {
+    head: ResponseHead,
+    body: Bytes,
+    reusable: bool,
+}
+
+impl RawReply {
+    /// Time of the `Keep-Alive` field.
+    fn keep_alive(&self) -> Option<Duration> {
+        let value = self.head.headers.get("keep-alive")?.to_str().ok()?;
+        let seconds = value
+            .split(',')
+            .find_map(|parameter| parameter.trim().strip_prefix("timeout="))?;
+        seconds.parse().ok().map(Duration::from_secs)
+    }
+}
+
+/// Writes the encoded request and reads the reply to it.
+async fn read_reply(
+    stream: &mut HttpStream,
+    mut codec: ClientCodec,
+) -> Result<RawReply, ForwardOutcome> {
+    let Ok(mut reusable) = stream.flush_or_fill().await else {
+        return Err(ForwardOutcome::Broken);
+    };
+    let head = loop {
+        match codec.decode(&mut stream.input) {
+            Ok(Some(head)) if head.status.is_informational() => {}
+            Ok(Some(head)) => break head,
+            Ok(None) if stream.input.len() > MAX_REPLY_HEAD_BYTES => {
+                return Err(ForwardOutcome::Invalid);
+            }
+            Ok(None) => fill(stream).await?,
+            Err(_) => return Err(ForwardOutcome::Invalid),
+        }
+    };
+    reusable &= codec.keep_alive();
+    let ambiguous = head.headers.contains_key(header::TRANSFER_ENCODING)
+        && head.headers.contains_key(header::CONTENT_LENGTH);
+    if ambiguous {
+        return Err(ForwardOutcome::Invalid);
+    }
+    let body = if codec.message_type() != MessageType::None {
+        read_framed(stream, codec.into_payload_codec()).await?
+    } else if has_no_body(&head) {
+        Bytes::new()
+    } else {
+        // A reply without a length ends with its connection.
+        reusable = false;
+        read_to_end(stream).await?
+    };
+    Ok(RawReply {
+        head,
+        body,
+        reusable,
+    })
+}
+
+fn has_no_body(head: &ResponseHead) -> bool {
+    let empty = matches!(
+        head.status,
+        StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED
+    );
+    empty || head.headers.contains_key(header::CONTENT_LENGTH)
+}
+
+async fn fill(stream: &mut HttpStream) -> Result<(), ForwardOutcome> {
+    match stream.fill().await {
+        Ok(0) | Err(_) => Err(ForwardOutcome::Broken),
+        Ok(_) => Ok(()),
+    }
+}
+
+async fn read_framed(
+    stream: &mut HttpStream,
+    mut codec: ClientPayloadCodec,
+) -> Result<Bytes, ForwardOutcome> {
+    let mut body = BytesMut::new();
+    loop {
+        match codec.decode(&mut stream.input) {
+            Ok(Some(Some(chunk))) if body.len() + chunk.len() > MAX_REPLY_BYTES => {
+                return Err(ForwardOutcome::Invalid);
+            }
+            Ok(Some(Some(chunk))) => body.extend_from_slice(&chunk),
+            Ok(Some(None)) => return Ok(body.freeze()),
+            Ok(None) => fill(stream).await?,
+            Err(_) => return Err(ForwardOutcome::Invalid),
+        }
+    }
+}
+
+async fn read_to_end(stream: &mut HttpStream) -> Result<Bytes, ForwardOutcome> {
+    loop {
+        if stream.input.len() > MAX_REPLY_BYTES {
+            return Err(ForwardOutcome::Invalid);
+        }
+        match stream.fill().await {
+            Ok(0) => return Ok(stream.input.split().freeze()),
+            Ok(_) => {}
+            // A reset may have cut it off.
+            Err(_) => return Err(ForwardOutcome::Broken),
+        }
+    }
+}
--- a/crates/node/src/workers.rs
+++ b/crates/node/src/workers.rs
@@ -17,6 +17,14 @@
         Self { handles, next: 0 }
     }
 
+    /// The calling thread alone, which must run an actix runtime.
+    pub fn current() -> Self {
+        Self {
+            handles: [Arbiter::current()].into(),
+            next: 0,
+        }
+    }
+
     /// Starts a task on the next thread. `start` runs there, so that the task need not be `Send`.
     pub fn spawn<F>(&mut self, start: impl FnOnce() -> F + Send + 'static)
     where
