Run on the users' platform: settings, store, configuration, entries and dialect

Cause: the users ask that the product runs on their platform through one folder that only translates.

Before: the store answers the product's own protocol with 400, callers get 404.

--- a/crates/medlarpost/src/flags.rs
+++ b/crates/medlarpost/src/flags.rs
@@ -1,5 +1,7 @@
 //! Command line of the node.
 
+use std::path::PathBuf;
+
 xflags::xflags! {
     /// A node of the medlarpost query tier. Each flag can also be set by an environment variable: MEDLARPOST_ and the
     /// name in capitals with underscores. A flag goes before its variable.
@@ -14,6 +16,8 @@
     /// Exit codes: 0 after a graceful stop (SIGTERM or SIGINT), 1 if the node can't run, 2 for settings that can't be
     /// used; then every fault is printed.
     cmd medlarpost {
+        /// Run on the users' platform, whose settings file this is; no other setting is used then
+        optional --settings path: PathBuf
         /// Name of this node on the platform's list of VMs
         optional --name name: String
         /// Availability zone of this VM
--- a/crates/medlarpost/src/lib.rs
+++ b/crates/medlarpost/src/lib.rs
@@ -1,6 +1,7 @@
 //! Program of the node: settings, signals and exit codes around `medlarpost-node`.
 
 mod flags;
+mod platform_run;
 mod run;
 mod setting_fault;
 mod settings_reader;
--- a/crates/medlarpost/src/run.rs
+++ b/crates/medlarpost/src/run.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     flags::Medlarpost,
+    platform_run,
     settings_reader::{self, StartValues},
 };
 use medlarpost_node::{
@@ -18,13 +19,23 @@
 use tokio::signal::unix::{SignalKind, signal};
 
 /// Exit code for settings that can't be used.
-const EXIT_SETTINGS: u8 = 2;
+pub(crate) const EXIT_SETTINGS: u8 = 2;
+
+/// Variable that holds the path of the platform's settings file.
+const PLATFORM_SETTINGS: &str = "MEDLARPOST_SETTINGS";
 
 /// Reads the settings, runs the node until SIGTERM or SIGINT, drains it, and gives the exit code.
 ///
 /// Exit codes: 0 after a graceful stop, 1 if the node can't run, 2 for bad settings.
 pub fn run() -> ExitCode {
     let flags = Medlarpost::from_env_or_exit();
+    let settings_path = flags
+        .settings
+        .clone()
+        .or_else(|| std::env::var_os(PLATFORM_SETTINGS).map(Into::into));
+    if let Some(path) = settings_path {
+        return platform_run::run(&path);
+    }
     let Some(start) = start_values() else {
         eprintln!("error: the system has no random numbers; check the VM");
         return ExitCode::FAILURE;
@@ -56,7 +67,7 @@
     Ok(())
 }
 
-async fn stop_signal() {
+pub(crate) async fn stop_signal() {
     let (Ok(mut terminate), Ok(mut interrupt)) = (
         signal(SignalKind::terminate()),
         signal(SignalKind::interrupt()),
