Weigh replicas by the objective: cost of another zone, fading failures, silence from the late time

Failures of a shedding upstream counted for 36 ms at most and never faded.

Hedges leave 40% of the budget to retries.

--- a/crates/core/src/extra_load.rs
+++ b/crates/core/src/extra_load.rs
@@ -46,7 +46,12 @@
     /// Extra requests that are still within the budget.
     pub fn left(&mut self, now: Timestamp, terms: &ExtraTerms) -> f64 {
         self.forget(now, terms);
-        f64::from(self.primary) * terms.ratio + terms.slack - f64::from(self.extra)
+        self.allowed(terms) - f64::from(self.extra)
+    }
+
+    /// Extra requests that the window allows, those that were sent included.
+    pub fn allowed(&self, terms: &ExtraTerms) -> f64 {
+        f64::from(self.primary) * terms.ratio + terms.slack
     }
 
     /// Takes one extra request out of the budget if it leaves `reserve` in it.
--- a/crates/core/src/forward_sends.rs
+++ b/crates/core/src/forward_sends.rs
@@ -15,8 +15,8 @@
 /// Wait that a caller is told when the node has no configuration yet.
 const NOT_READY_WAIT: Duration = Duration::from_millis(300);
 
-/// Share of the slack of the extra load that hedges leave for retries.
-const HEDGE_RESERVE: f64 = 0.25;
+/// Share of the allowed extra load that hedges leave for retries.
+const HEDGE_RESERVE: f64 = 0.4;
 
 /// Sends to upstreams that state that they did not run the request, beyond the attempts of the route.
 const NOT_RUN_TRIES: usize = 2;
@@ -177,17 +177,16 @@
             .times
             .entry(Arc::clone(&route.name))
             .or_insert_with(|| ReplyTimes::new(objective));
-        let Some((upstream, is_trial)) = self.choose(now, flow_key, shard, times.mean(), cause)
-        else {
+        let Some((upstream, is_trial)) = self.choose(now, flow_key, shard, &times, cause) else {
             return false;
         };
         if !matches!(cause, SendCause::Primary | SendCause::Resend) {
             let terms = self.extra_terms();
+            let pool = &mut self.services[service];
             let reserve = match cause {
-                SendCause::Hedge | SendCause::Trial => terms.slack * HEDGE_RESERVE,
+                SendCause::Hedge | SendCause::Trial => pool.extra.allowed(&terms) * HEDGE_RESERVE,
                 _ => 0.0,
             };
-            let pool = &mut self.services[service];
             if !pool.extra.spend(now, &terms, reserve) {
                 return false;
             }
@@ -240,7 +239,7 @@
         now: Timestamp,
         flow: FlowKey,
         shard: usize,
-        usual: f64,
+        times: &ReplyTimes,
         cause: SendCause,
     ) -> Option<(UpstreamKey, bool)> {
         let flow = &self.flows[flow];
@@ -252,7 +251,7 @@
         let service = shard.service;
         let terms = self.terms(service);
         let (connections, cold_sends) = (self.connections(&terms), self.cold_sends(&terms));
-        let zone_cost = self.settings.cross_zone_cost.as_secs_f64();
+        let zone_cost = self.settings.cross_zone_cost * times.objective();
         let mut best: Option<(f64, UpstreamKey)> = None;
         let mut trial = None;
         for &key in &self.services[service].replicas {
@@ -287,7 +286,7 @@
             } else {
                 zone_cost
             };
-            let cost = replica.expected(now, usual) + away + self.random.f64() * 1e-4;
+            let cost = replica.expected(now, times) + away + self.random.f64() * 1e-4;
             if best.is_none_or(|(least, _)| cost < least) {
                 best = Some((cost, key));
             }
--- a/crates/core/src/forwarder.rs
+++ b/crates/core/src/forwarder.rs
@@ -40,8 +40,8 @@
     pub cold_excess: f64,
     /// Requests beyond that which a cold upstream bears in one second.
     pub cold_slack: f64,
-    /// Time by which a replica in another zone counts as slower, because bytes between zones cost.
-    pub cross_zone_cost: Duration,
+    /// Share of the objective by which a replica in another zone counts as slower, because bytes between zones cost.
+    pub cross_zone_cost: f64,
     /// Time that an answer takes to its caller and that its clock may be ahead.
     pub answer_margin: Duration,
     /// Nodes assumed until the fleet is known.
--- a/crates/core/src/replica.rs
+++ b/crates/core/src/replica.rs
@@ -1,6 +1,6 @@
 //! A registered upstream as this node sees it.
 
-use crate::prelude::*;
+use crate::{prelude::*, reply_times::ReplyTimes};
 use std::collections::VecDeque;
 
 /// First wait before a suspect gets a trial request.
@@ -18,11 +18,12 @@
 /// Age at which a reported load says nothing any more.
 const LOAD_LIFETIME: Duration = Duration::from_millis(150);
 
-/// Multiple of the expected reply time after which an upstream without any reply counts as silent.
-const SILENT_RATIO: f64 = 2.0;
+/// Time within which the memory of failures fades to half, so that an upstream that has recovered gets work again.
+const FAILURE_HALF_LIFE: Duration = Duration::from_secs(1);
 
-/// Shortest silence that shows anything.
-const SILENCE_FLOOR: Duration = Duration::from_millis(15);
+/// Cost of a certain failure, as a share of the objective: the time that a second attempt takes, and the budget that it
+/// uses.
+const FAILURE_COST: f64 = 1.0;
 
 /// Length of the window in which the requests of a cold upstream are counted. A little over the second for which its
 /// rate is given, because requests may be held up on the way.
@@ -48,8 +49,10 @@
     last_reply: Timestamp,
     /// Its reply times as a multiple of the usual ones.
     slowness: f64,
-    /// Share of its recent replies that are failures.
+    /// Share of its recent replies that are failures, at the time of the last one.
     failures: f64,
+    /// Time of the last reply or failure.
+    judged: Timestamp,
     load: Option<(Timestamp, ReportedLoad)>,
 }
 
@@ -75,6 +78,7 @@
             last_reply: Timestamp::ZERO,
             slowness: 1.0,
             failures: 0.0,
+            judged: Timestamp::ZERO,
             load: None,
         }
     }
@@ -145,9 +149,9 @@
         self.state == ReplicaState::Suspect && self.trial_at <= now
     }
 
-    /// Time in seconds until a reply to a request that usually takes `usual` seconds is expected.
-    pub(crate) fn expected(&self, now: Timestamp, usual: f64) -> f64 {
-        let service_time = usual * self.slowness;
+    /// Time in seconds until a reply is expected to a request with these usual reply times.
+    pub(crate) fn expected(&self, now: Timestamp, times: &ReplyTimes) -> f64 {
+        let service_time = times.mean() * self.slowness;
         let own = self.running.len() as u32;
         let reported = match self.load {
             Some((at, load)) if now.since(at) < LOAD_LIFETIME => load.running + load.waiting,
@@ -158,25 +162,35 @@
         let waits = f64::from((ahead + 1).saturating_sub(slots)) / f64::from(slots);
         // An idle upstream is a little better than a busy one.
         let busy = f64::from(ahead.min(slots)) / f64::from(slots) * 0.1;
-        service_time * (1.0 + waits + busy)
-            + self.silence(now, service_time)
-            + self.failures * 10.0 * usual
+        let failing = self.failures(now) * FAILURE_COST * times.objective();
+        service_time * (1.0 + waits + busy) + self.silence(now, times) + failing
     }
 
     /// How long it has been silent, in seconds, if that is longer than a reply takes; otherwise 0.
-    fn silence(&self, now: Timestamp, service_time: f64) -> f64 {
+    fn silence(&self, now: Timestamp, times: &ReplyTimes) -> f64 {
         let Some(&(_, oldest)) = self.running.first() else {
             return 0.0;
         };
         let silent = now.since(oldest.max(self.last_reply));
-        let usual = Duration::from_secs_f64(service_time * SILENT_RATIO).max(SILENCE_FLOOR);
-        if silent <= usual {
+        if silent <= times.late().mul_f64(self.slowness.max(1.0)) {
             return 0.0;
         }
         // A pause that has lasted for some time lasts about as long again.
         silent.as_secs_f64() + 0.05
     }
 
+    /// Share of its recent replies that are failures, faded by the time since the last one.
+    fn failures(&self, now: Timestamp) -> f64 {
+        let half_lives = now.since(self.judged).as_secs_f64() / FAILURE_HALF_LIFE.as_secs_f64();
+        self.failures * 0.5_f64.powf(half_lives)
+    }
+
+    fn judge(&mut self, now: Timestamp, failure: f64) {
+        let failures = self.failures(now);
+        self.failures = failures + WEIGHT * (failure - failures);
+        self.judged = now;
+    }
+
     /// Records that an attempt was sent.
     pub(crate) fn sent(&mut self, now: Timestamp, attempt: AttemptKey) {
         self.running.push((attempt, now));
@@ -207,16 +221,16 @@
             }
             ForwardOutcome::Failed(_) | ForwardOutcome::Invalid => Some(self.answered(now, 1.0)),
             ForwardOutcome::NotRun(NotRunCause::OtherInstance) => Some(ReplicaEvent::Leave),
-            ForwardOutcome::NotRun(_) => Some(self.answered(now, 0.5)),
+            ForwardOutcome::NotRun(_) => Some(self.answered(now, 1.0)),
             ForwardOutcome::Broken => {
                 self.breaks += 1;
-                self.failures += WEIGHT * (1.0 - self.failures);
+                self.judge(now, 1.0);
                 Some(ReplicaEvent::Broken)
             }
             ForwardOutcome::NotSent => Some(ReplicaEvent::Unreachable),
             ForwardOutcome::Silent if self.last_reply <= sent => Some(ReplicaEvent::Unreachable),
             ForwardOutcome::Silent => {
-                self.failures += WEIGHT * (1.0 - self.failures);
+                self.judge(now, 1.0);
                 (self.state == ReplicaState::Trial).then_some(ReplicaEvent::Broken)
             }
             // A trial that was cancelled showed nothing.
@@ -258,7 +272,7 @@
     fn answered(&mut self, now: Timestamp, failure: f64) -> ReplicaEvent {
         self.last_reply = now;
         self.breaks = 0;
-        self.failures += WEIGHT * (failure - self.failures);
+        self.judge(now, failure);
         ReplicaEvent::Answered
     }
 
--- a/crates/core/src/reply_times.rs
+++ b/crates/core/src/reply_times.rs
@@ -35,7 +35,7 @@
         }
     }
 
-    /// Adds the reply time of an upstream that is `slowness` times slower than usual.
+    /// Adds a reply time.
     pub(crate) fn add(&mut self, time: Duration) {
         let time = time.as_secs_f64().min(self.objective);
         let off = time - self.mean;
@@ -43,6 +43,11 @@
         self.deviation += WEIGHT * (off.abs() - self.deviation);
     }
 
+    /// Latency objective of the route in seconds.
+    pub(crate) fn objective(&self) -> f64 {
+        self.objective
+    }
+
     /// Mean in seconds.
     pub(crate) fn mean(&self) -> f64 {
         self.mean
--- a/crates/node/src/forward_log.rs
+++ b/crates/node/src/forward_log.rs
@@ -11,7 +11,7 @@
             instance,
             cause,
             budget_left,
-        } => debug!(log, "extra_attempt"; "request" => &**request, "service" => &**service,
+        } => info!(log, "extra_attempt"; "request" => &**request, "service" => &**service,
             "instance" => &**instance, "cause" => *cause, "budget_left" => *budget_left),
         ForwardNote::GaveUp {
             request,
