Let the memory of slow replies fade, and count the replies of one pause once

A sample counts only if a usual reply time has passed since the last one; the slowness halves every 4 s; the mean of a route moves by bounded steps, so that a slow upstream does not become the measure of itself; a reply is late after 35% of the objective at the earliest.

--- a/crates/core/src/replica.rs
+++ b/crates/core/src/replica.rs
@@ -21,6 +21,12 @@
 /// Time within which the memory of failures fades to half, so that an upstream that has recovered gets work again.
 const FAILURE_HALF_LIFE: Duration = Duration::from_secs(1);
 
+/// Time within which the memory of slow replies fades to half. A trial of a slow upstream costs a late reply or a hedge.
+const SLOWNESS_HALF_LIFE: Duration = Duration::from_secs(4);
+
+/// Bounds of the reply time of one sample as a multiple of the usual one.
+const SLOWNESS_BOUNDS: (f64, f64) = (0.3, 20.0);
+
 /// Cost of a certain failure, as a share of the objective: the time that a second attempt takes, and the budget that it
 /// uses.
 const FAILURE_COST: f64 = 1.0;
@@ -47,8 +53,10 @@
     /// Attempts that run, oldest first.
     running: Vec<(AttemptKey, Timestamp)>,
     last_reply: Timestamp,
-    /// Its reply times as a multiple of the usual ones.
+    /// Its reply times as a multiple of the usual ones, at the time of the last sample.
     slowness: f64,
+    /// Time of the last sample of the slowness.
+    timed: Timestamp,
     /// Share of its recent replies that are failures, at the time of the last one.
     failures: f64,
     /// Time of the last reply or failure.
@@ -77,6 +85,7 @@
             running: Vec::new(),
             last_reply: Timestamp::ZERO,
             slowness: 1.0,
+            timed: Timestamp::ZERO,
             failures: 0.0,
             judged: Timestamp::ZERO,
             load: None,
@@ -151,7 +160,7 @@
 
     /// Time in seconds until a reply is expected to a request with these usual reply times.
     pub(crate) fn expected(&self, now: Timestamp, times: &ReplyTimes) -> f64 {
-        let service_time = times.mean() * self.slowness;
+        let service_time = times.mean() * self.slowness(now);
         let own = self.running.len() as u32;
         let reported = match self.load {
             Some((at, load)) if now.since(at) < LOAD_LIFETIME => load.running + load.waiting,
@@ -172,7 +181,7 @@
             return 0.0;
         };
         let silent = now.since(oldest.max(self.last_reply));
-        if silent <= times.late().mul_f64(self.slowness.max(1.0)) {
+        if silent <= times.late().mul_f64(self.slowness(now).max(1.0)) {
             return 0.0;
         }
         // A pause that has lasted for some time lasts about as long again.
@@ -181,8 +190,24 @@
 
     /// Share of its recent replies that are failures, faded by the time since the last one.
     fn failures(&self, now: Timestamp) -> f64 {
-        let half_lives = now.since(self.judged).as_secs_f64() / FAILURE_HALF_LIFE.as_secs_f64();
-        self.failures * 0.5_f64.powf(half_lives)
+        self.failures * fade(now.since(self.judged), FAILURE_HALF_LIFE)
+    }
+
+    /// Its reply times as a multiple of the usual ones, faded by the time since the last sample.
+    fn slowness(&self, now: Timestamp) -> f64 {
+        1.0 + (self.slowness - 1.0) * fade(now.since(self.timed), SLOWNESS_HALF_LIFE)
+    }
+
+    /// Takes a reply time as a sample of the slowness. Replies that a pause held up come together and count as one.
+    fn time(&mut self, now: Timestamp, time: Duration, usual: f64) {
+        if now.since(self.timed).as_secs_f64() < usual {
+            return;
+        }
+        let (least, most) = SLOWNESS_BOUNDS;
+        let ratio = (time.as_secs_f64() / usual.max(f64::MIN_POSITIVE)).clamp(least, most);
+        let slowness = self.slowness(now);
+        self.slowness = slowness + WEIGHT * (ratio - slowness);
+        self.timed = now;
     }
 
     fn judge(&mut self, now: Timestamp, failure: f64) {
@@ -215,8 +240,7 @@
         }
         match &end.outcome {
             ForwardOutcome::Served(_) => {
-                let ratio = now.since(sent).as_secs_f64() / usual.max(1e-4);
-                self.slowness += WEIGHT * (ratio.clamp(0.3, 20.0) - self.slowness);
+                self.time(now, now.since(sent), usual);
                 Some(self.answered(now, 0.0))
             }
             ForwardOutcome::Failed(_) | ForwardOutcome::Invalid => Some(self.answered(now, 1.0)),
@@ -286,3 +310,8 @@
         }
     }
 }
+
+/// Weight that is left of a memory of this age.
+fn fade(age: Duration, half_life: Duration) -> f64 {
+    0.5_f64.powf(age.as_secs_f64() / half_life.as_secs_f64())
+}
--- a/crates/core/src/reply_times.rs
+++ b/crates/core/src/reply_times.rs
@@ -9,7 +9,7 @@
 const LATE_DEVIATIONS: f64 = 3.0;
 
 /// Shares of the objective that bound the time after which a reply is late.
-const LATE_BOUNDS: (f64, f64) = (0.1, 0.5);
+const LATE_BOUNDS: (f64, f64) = (0.35, 0.5);
 
 /// Share of the objective that is taken as the mean before the first reply.
 const FIRST_MEAN: f64 = 0.15;
@@ -37,8 +37,9 @@
 
     /// Adds a reply time.
     pub(crate) fn add(&mut self, time: Duration) {
-        let time = time.as_secs_f64().min(self.objective);
-        let off = time - self.mean;
+        // One very late reply moves the mean no further than one that took twice the usual time, so that a slow upstream
+        // doesn't become the measure of itself.
+        let off = (time.as_secs_f64() - self.mean).min(self.mean);
         self.mean += WEIGHT * off;
         self.deviation += WEIGHT * (off.abs() - self.deviation);
     }
