Charge a failing upstream four objectives for a certain failure

A rejected attempt cost less than another zone, so that nodes stayed with the shedding near replica; 5,497 arrivals were rejected, the budget for retries was gone, and 613 queries were refused because shards had neither an answer nor a retry left.

The test of a shedding upstream now sheds at that upstream only, as its name says; before, it shed at the other one as well once that was asked first.

--- a/crates/core/src/replica.rs
+++ b/crates/core/src/replica.rs
@@ -29,7 +29,7 @@
 
 /// Cost of a certain failure, as a share of the objective: the time that a second attempt takes, and the budget that it
 /// uses.
-const FAILURE_COST: f64 = 1.0;
+const FAILURE_COST: f64 = 4.0;
 
 /// Length of the window in which the requests of a cold upstream are counted. A little over the second for which its
 /// rate is given, because requests may be held up on the way.
--- a/crates/core/tests/forwarding.rs
+++ b/crates/core/tests/forwarding.rs
@@ -488,12 +488,14 @@
 #[test]
 fn a_shedding_upstream_is_avoided_and_tried_again_later() {
     let mut bench = bench(vec![single("a")], &["z-a", "z-b"]);
+    let shed = |sent: &forward_bench::Sent| sent.instance == "desk@z-a";
     for _ in 0..4 {
         bench.ask(request("/a/1"));
-        let sent = bench.sent().remove(0);
-        bench.finish(&sent, ForwardOutcome::NotRun(NotRunCause::Full));
-        for again in bench.sent() {
-            bench.finish(&again, served(b""));
+        let mut sent = bench.sent();
+        while let Some(attempt) = sent.pop() {
+            let full = ForwardOutcome::NotRun(NotRunCause::Full);
+            bench.finish(&attempt, if shed(&attempt) { full } else { served(b"") });
+            sent.extend(bench.sent());
         }
     }
 
