Find the other nodes by datagrams, so that shared limits are divided by their number

Cause: budgets, cold rates and connections are sums over all nodes, and the settings name three seeds at most.

Membership (core) decides, a task owns the socket, beats are prost messages in UdpFramed. A round goes to four members and a seed, so that traffic does not grow with the fleet. A silent member counts for a minute: a cut node must not take the fleet for smaller than it is. A node that has heard nobody assumes eight.

Ruled out: the links, which need a published list and a fleet key; TCP, whose full mesh costs connections.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod latency_window;
 pub mod limiter;
 pub mod manifest;
+pub mod membership;
 pub mod merge;
 pub mod news;
 pub mod news_log;
--- /dev/null
+++ b/crates/core/src/membership.rs
@@ -0,0 +1,141 @@
+//! Which nodes share the limits of upstreams, where no list of them is published.
+
+use crate::prelude::*;
+use std::net::SocketAddr;
+
+/// Members that one beat names at most.
+const HEARD_IN_BEAT: usize = 64;
+
+/// Members that one round of beats goes to at most, so that a node's traffic does not grow with the fleet.
+const FAN_OUT: usize = 4;
+
+/// Time for which a silent member counts. A cut node must not take the fleet for smaller than it is: the limits are sums
+/// over all nodes, also over those on the other side.
+const MEMORY: Duration = Duration::from_mins(1);
+
+/// Age at which a member is no longer told to others, so that a node that is gone is forgotten by all.
+const TOLD_FOR: Duration = Duration::from_secs(5);
+
+/// What a node knows before it has heard anything.
+#[derive(Clone, Debug)]
+pub struct MembershipSettings {
+    /// Where this node takes beats.
+    pub address: SocketAddr,
+    /// Nodes to ask first; they may be down.
+    pub seeds: Vec<SocketAddr>,
+    /// Nodes assumed until another one was heard.
+    pub assumed_fleet: u32,
+    /// Seed of random choices.
+    pub seed: u64,
+}
+
+/// A sign of life, and what the sender knows of others.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct MemberBeat {
+    /// Where the sender takes beats.
+    pub address: SocketAddr,
+    /// Other nodes, most recently heard first.
+    pub heard: Vec<HeardMember>,
+    /// Whether the sender wants a beat in return at once.
+    pub answer_wanted: bool,
+}
+
+/// A node and how long ago there was a sign of it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct HeardMember {
+    /// Where it takes beats.
+    pub address: SocketAddr,
+    /// Time since the last sign.
+    pub age: Duration,
+}
+
+/// The nodes of the fleet as this one has heard of them.
+#[derive(Debug)]
+pub struct Membership {
+    settings: MembershipSettings,
+    /// Last sign of each other node, its own or one that another node told.
+    members: BTreeMap<SocketAddr, Timestamp>,
+    random: fastrand::Rng,
+}
+
+impl Membership {
+    /// A fleet of which nothing is known.
+    pub fn new(settings: MembershipSettings) -> Self {
+        let random = fastrand::Rng::with_seed(settings.seed);
+        Self {
+            settings,
+            members: BTreeMap::new(),
+            random,
+        }
+    }
+
+    /// Nodes that share the limits, this one included.
+    pub fn size(&mut self, now: Timestamp) -> u32 {
+        self.members.retain(|_, heard| now.since(*heard) < MEMORY);
+        if self.members.is_empty() {
+            return self.settings.assumed_fleet.max(1);
+        }
+        self.members.len() as u32 + 1
+    }
+
+    /// Takes a beat. Returns the one to answer with, if one is wanted.
+    pub fn heard(&mut self, now: Timestamp, beat: &MemberBeat) -> Option<MemberBeat> {
+        self.sign(beat.address, now);
+        for member in &beat.heard {
+            // Ages are cut at the origin of this process's time, before which nothing was heard.
+            if member.age < TOLD_FOR {
+                self.sign(member.address, now - member.age);
+            }
+        }
+        beat.answer_wanted.then(|| self.beat(now, false))
+    }
+
+    /// Where the next round of beats goes, and the beat. Until another node was heard, and now and then afterwards, it
+    /// goes to the seeds as well, so that groups that lost each other meet again.
+    pub fn round(&mut self, now: Timestamp) -> (Vec<SocketAddr>, MemberBeat) {
+        let alone = self.members.is_empty();
+        let mut targets: Vec<SocketAddr> = self.members.keys().copied().collect();
+        self.random.shuffle(&mut targets);
+        targets.truncate(FAN_OUT);
+        let seeds = self.settings.seeds.iter().copied();
+        let seeds: Vec<_> = seeds
+            .filter(|seed| *seed != self.settings.address)
+            .collect();
+        if alone {
+            targets = seeds;
+        } else if !seeds.is_empty() {
+            let seed = seeds[self.random.usize(..seeds.len())];
+            if !targets.contains(&seed) {
+                targets.push(seed);
+            }
+        }
+        (targets, self.beat(now, alone))
+    }
+
+    fn beat(&self, now: Timestamp, answer_wanted: bool) -> MemberBeat {
+        let mut heard: Vec<_> = self
+            .members
+            .iter()
+            .map(|(address, at)| HeardMember {
+                address: *address,
+                age: now.since(*at),
+            })
+            .filter(|member| member.age < TOLD_FOR)
+            .collect();
+        heard.sort_by_key(|member| member.age);
+        heard.truncate(HEARD_IN_BEAT);
+        MemberBeat {
+            address: self.settings.address,
+            heard,
+            answer_wanted,
+        }
+    }
+
+    fn sign(&mut self, address: SocketAddr, at: Timestamp) {
+        if address == self.settings.address {
+            return;
+        }
+        let heard = self.members.entry(address).or_insert(at);
+        *heard = at.max(*heard);
+    }
+}
--- /dev/null
+++ b/crates/core/tests/membership.rs
@@ -0,0 +1,88 @@
+//! Guards against nodes that take the fleet for smaller than it is: the limits of upstreams are sums over all nodes.
+
+use medlarpost_core::prelude::*;
+use std::net::SocketAddr;
+
+fn address(node: usize) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 7_000 + node as u16))
+}
+
+fn node(number: usize, seeds: &[usize]) -> Membership {
+    Membership::new(MembershipSettings {
+        address: address(number),
+        seeds: seeds.iter().map(|seed| address(*seed)).collect(),
+        assumed_fleet: 8,
+        seed: number as u64,
+    })
+}
+
+/// Lets each node that `runs` send one round, whose beats arrive at once.
+fn round(nodes: &mut [Membership], now: Timestamp, runs: impl Fn(usize) -> bool) {
+    for from in (0..nodes.len()).filter(|node| runs(*node)) {
+        let (targets, beat) = nodes[from].round(now);
+        for to in (0..nodes.len()).filter(|node| runs(*node)) {
+            if targets.contains(&address(to))
+                && let Some(answer) = nodes[to].heard(now, &beat)
+            {
+                nodes[from].heard(now, &answer);
+            }
+        }
+    }
+}
+
+/// Guards against a large fleet that never learns of all its nodes.
+#[test]
+fn nodes_that_know_one_seed_find_all_others() {
+    let mut nodes: Vec<_> = (0..40).map(|number| node(number, &[0])).collect();
+
+    for second in 0..4 {
+        round(&mut nodes, Timestamp::from_millis(second * 1_000), |_| true);
+    }
+
+    let now = Timestamp::from_millis(4_000);
+    let sizes: Vec<_> = nodes.iter_mut().map(|node| node.size(now)).collect();
+    assert_eq!(sizes, [40; 40]);
+}
+
+/// Guards against a node that takes all of each limit because it has just started and hears nobody.
+#[test]
+fn a_node_that_hears_nobody_assumes_others() {
+    let mut alone = node(0, &[1, 2]);
+
+    assert_eq!(alone.size(Timestamp::from_millis(60_000)), 8);
+}
+
+/// Guards against both sides of a cut that use the whole limit each.
+#[test]
+fn a_cut_does_not_shrink_the_fleet() {
+    let mut nodes: Vec<_> = (0..4).map(|number| node(number, &[0, 1])).collect();
+    for second in 0..3 {
+        round(&mut nodes, Timestamp::from_millis(second * 1_000), |_| true);
+    }
+
+    for second in 3..30 {
+        round(&mut nodes, Timestamp::from_millis(second * 1_000), |node| {
+            node != 0
+        });
+    }
+
+    let now = Timestamp::from_millis(30_000);
+    assert_eq!((nodes[0].size(now), nodes[1].size(now)), (4, 4));
+}
+
+/// Guards against a node that is gone for good but is told on from one node to the next for ever.
+#[test]
+fn a_node_that_is_gone_is_forgotten() {
+    let mut nodes: Vec<_> = (0..4).map(|number| node(number, &[0, 1])).collect();
+    for second in 0..3 {
+        round(&mut nodes, Timestamp::from_millis(second * 1_000), |_| true);
+    }
+
+    for second in 3..80 {
+        round(&mut nodes, Timestamp::from_millis(second * 1_000), |node| {
+            node != 3
+        });
+    }
+
+    assert_eq!(nodes[1].size(Timestamp::from_millis(80_000)), 3);
+}
--- a/crates/node/src/forward_node.rs
+++ b/crates/node/src/forward_node.rs
@@ -6,6 +6,7 @@
     forward_metrics::ForwardMetrics,
     forward_task::{self, ForwardMessage, ForwardParts, ForwardSender, ForwardStatus},
     http_server::{self, ServerPhase},
+    member_task,
     prelude::*,
     registry::Registry,
     registry_watcher::{RegistryWatcher, WatchTerms},
@@ -34,6 +35,8 @@
     pub readiness: SocketAddr,
     /// Listener for metrics.
     pub metrics: SocketAddr,
+    /// How other nodes are found.
+    pub membership: MembershipSettings,
     /// Limits and the place of this node.
     pub forwarder: ForwarderSettings,
     /// How the registry is followed.
@@ -50,6 +53,7 @@
     callers: tokio::net::TcpListener,
     readiness: std::net::TcpListener,
     metrics: std::net::TcpListener,
+    members: tokio::net::UdpSocket,
 }
 
 /// A node that serves.
@@ -93,6 +97,7 @@
             callers: listen_callers(address).context(node_error::ListenSnafu { address })?,
             readiness: listen(settings.readiness)?,
             metrics: listen(settings.metrics)?,
+            members: listen_members(settings.membership.address)?,
         };
         Ok(Self {
             settings,
@@ -127,10 +132,11 @@
         let (ready, ready_rx) = watch::channel(Readiness::default());
         let (server_phase, server_phase_rx) = watch::channel(ServerPhase::Open);
         let config = ServiceConfig::default();
+        let clock = Clock::start();
         let parts = ForwardParts {
             dialect: dialect.clone(),
             forwarder,
-            clock: Clock::start(),
+            clock,
             config: config.clone(),
             metrics,
             log: log.clone(),
@@ -140,6 +146,15 @@
         actix_rt::spawn(forward_task::run(parts, forward.clone(), forward_rx));
         let watcher = RegistryWatcher::new(registry, settings.watch, forward.clone(), log.clone());
         actix_rt::spawn(watcher.run());
+        let membership = Membership::new(settings.membership.clone());
+        let members = member_task::run(
+            bound.members,
+            membership,
+            clock,
+            forward.clone(),
+            log.clone(),
+        );
+        actix_rt::spawn(members);
         let workers = Workers::current();
         let readiness = ReadinessPage { ready: ready_rx };
         spawn_server(bound.readiness, readiness, &server_phase_rx, &workers, &log);
@@ -214,6 +229,15 @@
     }
 }
 
+fn listen_members(address: SocketAddr) -> Result<tokio::net::UdpSocket, NodeError> {
+    let bind = || {
+        let socket = std::net::UdpSocket::bind(address)?;
+        socket.set_nonblocking(true)?;
+        tokio::net::UdpSocket::from_std(socket)
+    };
+    bind().context(node_error::ListenSnafu { address })
+}
+
 fn listen_callers(address: SocketAddr) -> std::io::Result<tokio::net::TcpListener> {
     let socket = if address.is_ipv4() {
         TcpSocket::new_v4()?
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -44,6 +44,7 @@
 mod link_dialler;
 mod link_listener;
 mod load_metrics;
+mod member_task;
 mod news_exchange;
 mod peers;
 mod redeem_calls;
--- /dev/null
+++ b/crates/wire/src/beat_codec.rs
@@ -0,0 +1,70 @@
+//! Datagrams by which nodes find each other.
+
+use crate::{generated_member as gen_member, prelude::*};
+use prost::Message as _;
+use tokio_util::codec::{Decoder, Encoder};
+
+/// Version of the protocol.
+const MAJOR: u32 = 1;
+
+/// Longest datagram, in bytes: 64 nodes of about 30 bytes, within one packet of the network.
+pub const MAX_DATAGRAM: usize = 4096;
+
+/// One beat a datagram.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct BeatCodec;
+
+impl Encoder<MemberBeat> for BeatCodec {
+    type Error = std::io::Error;
+
+    fn encode(&mut self, beat: MemberBeat, dst: &mut bytes::BytesMut) -> std::io::Result<()> {
+        let heard = beat.heard.iter().map(|heard| gen_member::Heard {
+            address: heard.address.to_string(),
+            age_ms: u32::try_from(heard.age.as_millis()).unwrap_or(u32::MAX),
+        });
+        let message = gen_member::Beat {
+            major: MAJOR,
+            address: beat.address.to_string(),
+            heard: heard.collect(),
+            answer_wanted: beat.answer_wanted,
+        };
+        dst.reserve(message.encoded_len());
+        message.encode(dst)?;
+        Ok(())
+    }
+}
+
+impl Decoder for BeatCodec {
+    type Error = std::io::Error;
+    type Item = Option<MemberBeat>;
+
+    /// Gives `None` for a datagram that is no beat, so that strangers end nothing.
+    fn decode(&mut self, src: &mut bytes::BytesMut) -> std::io::Result<Option<Self::Item>> {
+        if src.is_empty() {
+            return Ok(None);
+        }
+        let datagram = src.split();
+        Ok(Some(read(&datagram)))
+    }
+}
+
+fn read(datagram: &[u8]) -> Option<MemberBeat> {
+    if datagram.len() > MAX_DATAGRAM {
+        return None;
+    }
+    let message = gen_member::Beat::decode(datagram).ok()?;
+    if message.major != MAJOR {
+        return None;
+    }
+    let heard = message.heard.iter().map(|heard| {
+        Some(HeardMember {
+            address: heard.address.parse().ok()?,
+            age: Duration::from_millis(heard.age_ms.into()),
+        })
+    });
+    Some(MemberBeat {
+        address: message.address.parse().ok()?,
+        heard: heard.collect::<Option<_>>()?,
+        answer_wanted: message.answer_wanted,
+    })
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! Generated types stay inside this crate.
 
+pub mod beat_codec;
 pub mod fleet_key;
 pub mod frame_codec;
 pub mod greeting_codec;
@@ -14,6 +15,11 @@
 mod decode;
 mod encode;
 
+mod generated_member {
+    // Not a module file, so that the formatter leaves the generator's output as it is.
+    include!("gen/medlarpost.member.rs");
+}
+
 mod generated {
     // Not a module file, so that the formatter leaves the generator's output as it is.
     include!("gen/medlarpost.link.rs");
--- a/crates/wire/tests/generated.rs
+++ b/crates/wire/tests/generated.rs
@@ -2,28 +2,39 @@
 
 use std::{fs, path::Path};
 
-/// Generates the code of `proto/link.proto` into `out`.
-fn generate(out: &Path) -> String {
+/// Generates the code of `proto/NAME.proto` into `out`.
+fn generate(out: &Path, name: &str) -> String {
     let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("proto");
-    let files = protox::compile(["link.proto"], [&root]).expect("the protocol file is valid");
+    let files =
+        protox::compile([format!("{name}.proto")], [&root]).expect("the protocol file is valid");
     prost_build::Config::new()
         .bytes(["."])
         .out_dir(out)
         .compile_fds(files)
         .expect("the folder can be written to");
-    fs::read_to_string(out.join("medlarpost.link.rs")).expect("the package is medlarpost.link")
+    fs::read_to_string(out.join(format!("medlarpost.{name}.rs")))
+        .expect("the package has this name")
 }
 
 #[test]
 fn committed_code_is_current() {
+    for name in ["link", "member"] {
+        assert_current(name);
+    }
+}
+
+fn assert_current(name: &str) {
+    let file = format!("medlarpost.{name}.rs");
     let folder = tempfile::tempdir().expect("a temporary folder can be made");
-    let committed = Path::new(env!("CARGO_MANIFEST_DIR")).join("src/gen/medlarpost.link.rs");
+    let committed = Path::new(env!("CARGO_MANIFEST_DIR"))
+        .join("src/gen")
+        .join(&file);
 
-    let generated = generate(folder.path());
+    let generated = generate(folder.path(), name);
 
     let found = fs::read_to_string(&committed).unwrap_or_default();
     if found != generated {
-        let fresh = Path::new(env!("CARGO_TARGET_TMPDIR")).join("medlarpost.link.rs");
+        let fresh = Path::new(env!("CARGO_TARGET_TMPDIR")).join(&file);
         fs::write(&fresh, generated).expect("the target folder can be written to");
         panic!(
             "the code is not current; run `cp {} {}`",
