--- a/crates/core/src/forwarder.rs
+++ b/crates/core/src/forwarder.rs
@@ -20,6 +20,10 @@
 /// Share of an upstream's connections that the fleet holds.
 const CONNECTION_SHARE: f64 = 0.8;
 
+/// Connections to an upstream that a node may always use at a time. Few of a large fleet's nodes use one upstream at the
+/// same moment, so that this goes beyond their share of its connections without exceeding them.
+const CONNECTIONS_IN_USE: u32 = 4;
+
 /// Share of the rate of a cold upstream that the fleet sends.
 const COLD_SHARE: f64 = 0.8;
 
@@ -310,10 +314,10 @@
         }
     }
 
-    /// This node's part of the connections to an upstream.
+    /// Connections to an upstream that this node may use at a time.
     pub(crate) fn connections(&self, terms: &ServiceTerms) -> u32 {
         let all = f64::from(terms.max_connections) * CONNECTION_SHARE;
-        ((all / f64::from(self.fleet)) as u32).max(1)
+        ((all / f64::from(self.fleet)) as u32).max(CONNECTIONS_IN_USE)
     }
 
     /// This node's part of the requests that a cold upstream gets in one second.
--- a/crates/core/src/replica.rs
+++ b/crates/core/src/replica.rs
@@ -243,9 +243,10 @@
                 self.time(now, now.since(sent), usual);
                 Some(self.answered(now, 0.0))
             }
-            ForwardOutcome::Failed(_) | ForwardOutcome::Invalid => Some(self.answered(now, 1.0)),
             ForwardOutcome::NotRun(NotRunCause::OtherInstance) => Some(ReplicaEvent::Leave),
-            ForwardOutcome::NotRun(_) => Some(self.answered(now, 1.0)),
+            ForwardOutcome::Failed(_) | ForwardOutcome::Invalid | ForwardOutcome::NotRun(_) => {
+                Some(self.answered(now, 1.0))
+            }
             ForwardOutcome::Broken => {
                 self.breaks += 1;
                 self.judge(now, 1.0);
--- a/crates/node/src/connection_pool.rs
+++ b/crates/node/src/connection_pool.rs
@@ -15,9 +15,12 @@
 /// Time before the end that the upstream announced for an idle connection at which it is no longer used.
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(700);
 
-/// Time for which an idle connection is kept if the upstream announced nothing.
+/// Time for which the first idle connection is kept if the upstream announced nothing.
 const IDLE_LIFETIME: Duration = Duration::from_secs(20);
 
+/// Time for which further idle connections are kept. An upstream's connections are shared by the whole fleet.
+const SURPLUS_LIFETIME: Duration = Duration::from_secs(2);
+
 /// Connections to one upstream; each is owned by a task.
 #[derive(Debug)]
 pub(crate) struct ConnectionPool<D> {
@@ -85,9 +88,15 @@
         }
         let key = report.connection;
         if report.reusable && !self.closing && self.connections.contains_key(key) {
-            let lifetime = report
-                .keep_alive
-                .map_or(IDLE_LIFETIME, |time| time.saturating_sub(KEEP_ALIVE_MARGIN));
+            let longest = if self.idle.is_empty() {
+                IDLE_LIFETIME
+            } else {
+                SURPLUS_LIFETIME
+            };
+            let lifetime = report.keep_alive.map_or(longest, |time| {
+                time.saturating_sub(KEEP_ALIVE_MARGIN).min(longest)
+            });
+            self.close_expired(now);
             self.idle.push(IdleConnection {
                 key,
                 proven: now,
@@ -114,17 +123,28 @@
         self.connections.len()
     }
 
+    fn close_expired(&mut self, now: Timestamp) {
+        let connections = &mut self.connections;
+        self.idle.retain(|idle| {
+            let usable = idle.until > now;
+            if !usable {
+                // Dropping the sender ends the task, and with it the socket.
+                connections.remove(idle.key);
+            }
+            usable
+        });
+    }
+
     fn is_done(&self) -> bool {
         self.closing && self.running.is_empty()
     }
 
     fn idle_connection(&mut self, now: Timestamp, once: bool) -> Option<UpstreamConnectionKey> {
+        self.close_expired(now);
         while let Some(idle) = self.idle.pop() {
-            let usable = idle.until > now && (!once || now.since(idle.proven) <= FRESH_FOR);
-            if usable {
+            if !once || now.since(idle.proven) <= FRESH_FOR {
                 return Some(idle.key);
             }
-            // Dropping the sender ends the task, and with it the socket.
             self.connections.remove(idle.key);
         }
         None
