Remember upstreams that answer nothing, try suspects beside working ones, leave more of the budget to hedges

Cause: a hedged request ends with the other upstream's reply; the attempt at a dark upstream is then cancelled and left no trace, so that it was chosen again as soon as it had nothing running. A suspect got its trial only when no other replica was left, so that one that was back stayed without work.

An attempt that is cancelled without a sign of the upstream counts as a slow reply and a failure. A repeatable request carries a second copy to a suspect whose trial is due. Hedges leave 15% of the budget.

Ruled out: that nodes find slow upstreams too late because each finds them alone. It is not kept.

--- a/crates/core/src/forward_sends.rs
+++ b/crates/core/src/forward_sends.rs
@@ -16,7 +16,7 @@
 const NOT_READY_WAIT: Duration = Duration::from_millis(300);
 
 /// Share of the allowed extra load that hedges leave for retries.
-const HEDGE_RESERVE: f64 = 0.4;
+const HEDGE_RESERVE: f64 = 0.15;
 
 /// Sends to upstreams that state that they did not run the request, beyond the attempts of the route.
 const NOT_RUN_TRIES: usize = 2;
@@ -121,7 +121,11 @@
         let service = self.flows[flow].shards[shard].service;
         self.services[service].extra.count_primary(now, &terms);
         if !self.send(now, flow, shard, SendCause::Primary, commands) {
-            self.give_up_shard(flow, shard, commands);
+            return self.give_up_shard(flow, shard, commands);
+        }
+        // A suspect is tried with a second copy, so that the caller does not wait for it.
+        if self.flows[flow].route().repeatable {
+            self.send(now, flow, shard, SendCause::Trial, commands);
         }
     }
 
@@ -222,7 +226,9 @@
         shard.tried.push(upstream);
         shard.runs += 1;
         let may_hedge = route.repeatable && shard.runs < route.max_attempts;
-        shard.hedge_at = may_hedge.then(|| now + times.late());
+        if cause != SendCause::Trial {
+            shard.hedge_at = may_hedge.then(|| now + times.late());
+        }
         commands.push(ForwardCommand::Send {
             attempt,
             upstream,
--- a/crates/core/src/replica.rs
+++ b/crates/core/src/replica.rs
@@ -24,6 +24,9 @@
 /// Time within which the memory of slow replies fades to half. A trial of a slow upstream costs a late reply or a hedge.
 const SLOWNESS_HALF_LIFE: Duration = Duration::from_secs(4);
 
+/// Multiple of the usual reply time after which an attempt that was cancelled without a reply shows something.
+const UNANSWERED_RATIO: f64 = 3.0;
+
 /// Bounds of the reply time of one sample as a multiple of the usual one.
 const SLOWNESS_BOUNDS: (f64, f64) = (0.3, 20.0);
 
@@ -210,6 +213,16 @@
         self.timed = now;
     }
 
+    /// Takes account of an attempt that ended without any sign of the upstream since it was sent. Without this, a dark
+    /// upstream would be asked again as soon as its cancelled attempts have ended.
+    fn unanswered(&mut self, now: Timestamp, sent: Timestamp, usual: f64) {
+        let waited = now.since(sent);
+        if waited.as_secs_f64() > usual * self.slowness(now).max(1.0) * UNANSWERED_RATIO {
+            self.time(now, waited, usual);
+            self.judge(now, 1.0);
+        }
+    }
+
     fn judge(&mut self, now: Timestamp, failure: f64) {
         let failures = self.failures(now);
         self.failures = failures + WEIGHT * (failure - failures);
@@ -258,8 +271,10 @@
                 self.judge(now, 1.0);
                 (self.state == ReplicaState::Trial).then_some(ReplicaEvent::Broken)
             }
-            // A trial that was cancelled showed nothing.
             ForwardOutcome::Cancelled => {
+                if self.last_reply <= sent {
+                    self.unanswered(now, sent, usual);
+                }
                 (self.state == ReplicaState::Trial).then_some(ReplicaEvent::Broken)
             }
         }
