--- a/crates/wire/src/beat_codec.rs
+++ b/crates/wire/src/beat_codec.rs
@@ -17,16 +17,16 @@
 impl Encoder<MemberBeat> for BeatCodec {
     type Error = std::io::Error;
 
-    fn encode(&mut self, beat: MemberBeat, dst: &mut bytes::BytesMut) -> std::io::Result<()> {
-        let heard = beat.heard.iter().map(|heard| gen_member::Heard {
+    fn encode(&mut self, item: MemberBeat, dst: &mut bytes::BytesMut) -> std::io::Result<()> {
+        let heard = item.heard.iter().map(|heard| gen_member::Heard {
             address: heard.address.to_string(),
             age_ms: u32::try_from(heard.age.as_millis()).unwrap_or(u32::MAX),
         });
         let message = gen_member::Beat {
             major: MAJOR,
-            address: beat.address.to_string(),
+            address: item.address.to_string(),
             heard: heard.collect(),
-            answer_wanted: beat.answer_wanted,
+            answer_wanted: item.answer_wanted,
         };
         dst.reserve(message.encoded_len());
         message.encode(dst)?;
--- a/crates/wire/tests/beats.rs
+++ b/crates/wire/tests/beats.rs
@@ -26,7 +26,7 @@
 proptest! {
     #[test]
     fn any_datagram_is_read_or_ignored(bytes in proptest::collection::vec(any::<u8>(), 1..200)) {
-        let mut datagram = BytesMut::from(&bytes[..]);
+        let mut datagram = BytesMut::from(&*bytes);
 
         let read = BeatCodec.decode(&mut datagram);
 
