Write logs to standard output through a bounded queue, and explain a request from them

Cause: the users read logs from standard output, and a reader that stops must hold up nothing. Lines went to standard error with a blocking write, and complete answers left none.

A thread writes the lines; 4,096 may wait, the last quarter is kept for warnings and errors, dropped lines are counted by class and told in a line. One of 64 complete answers is written; 200 lines an event each 10 s instead of 20, so that more failures keep theirs. medlarctl explain ID prints one request's lines with the changes of belief that decided it. The commands of medlarctl keep standard error, because their reports go to standard output.

Ruled out: a writer task on the node's thread, which still blocks on a full pipe.

--- a/crates/medlarctl/src/flags.rs
+++ b/crates/medlarctl/src/flags.rs
@@ -11,6 +11,7 @@
     ///   medlarctl bundle check examples/tunelix.toml --nodes 5
     ///   medlarctl bundle build examples/tunelix.toml --out bundle
     ///   medlarctl bundle sign bundle --key first.key
+    ///   medlarctl explain 9c41d07be2a35f68 node-1.log node-2.log
     ///   medlarctl status --address 127.0.0.1:8081 --token-file admin.token
     ///
     /// Exit codes: 0 for success, 1 for a fault, 2 for a command line that can't be used.
@@ -36,6 +37,13 @@
             /// Print one JSON object
             optional --json
         }
+        /// Print the story of one request from the log lines of one or more nodes.
+        cmd explain {
+            /// Id of the caller's attempt
+            required id: String
+            /// Files with log lines; standard input without any
+            repeated file: PathBuf
+        }
         /// Run random faults for each seed in turn; ends with 1 at the first violated invariant.
         cmd soak {
             /// Seeds, FIRST..LAST with LAST included (default 1..5)
--- a/crates/medlarctl/src/lib.rs
+++ b/crates/medlarctl/src/lib.rs
@@ -19,6 +19,7 @@
 mod demo_command;
 mod demo_report;
 mod director;
+pub mod explain_command;
 mod fake_commands;
 mod fault;
 mod flags;
--- a/crates/medlarctl/src/run.rs
+++ b/crates/medlarctl/src/run.rs
@@ -3,7 +3,7 @@
 use crate::{
     bundle_command,
     ctl_error::CtlError,
-    demo_command, fake_commands,
+    demo_command, explain_command, fake_commands,
     flags::{MeasureControl, Medlarctl, MedlarctlCmd},
     keys_command, load_command,
     measure_control::{self, ControlOptions},
@@ -17,6 +17,7 @@
     let flags = Medlarctl::from_env_or_exit();
     let result = match flags.subcommand {
         MedlarctlCmd::Demo(demo) => demo_command::run(&demo),
+        MedlarctlCmd::Explain(explain) => explain_command::run(&explain),
         MedlarctlCmd::Soak(soak) => demo_command::run_soak(&soak),
         MedlarctlCmd::FakePlatform(flags) => fake_commands::run_platform(&flags),
         MedlarctlCmd::FakeUpstream(flags) => fake_commands::run_upstream(&flags),
--- a/crates/medlarpost/src/run.rs
+++ b/crates/medlarpost/src/run.rs
@@ -7,6 +7,7 @@
 };
 use medlarpost_node::{
     key_value_drain,
+    log_queue::LogQueue,
     node::Node,
     prelude::{NodeError, Settings},
     tls::TlsConfigs,
@@ -50,7 +51,14 @@
                 return ExitCode::from(EXIT_SETTINGS);
             }
         };
-    let log = key_value_drain::logger(level);
+    let queue = match LogQueue::start(std::io::stdout()) {
+        Ok(queue) => queue,
+        Err(fault) => {
+            eprintln!("error: no thread for the log: {fault}; raise the limit of threads");
+            return ExitCode::FAILURE;
+        }
+    };
+    let log = key_value_drain::queued_logger(level, queue);
     match actix_rt::System::new().block_on(run_node(settings, tls, log)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(fault) => {
--- a/crates/node/src/forward_log.rs
+++ b/crates/node/src/forward_log.rs
@@ -1,8 +1,17 @@
 //! Log lines of the decisions about forwarded requests.
 
 use crate::prelude::*;
+use std::cell::Cell;
 
-/// Writes the line of one decision. Answers that are complete and in time are not written; they are counted.
+/// Of so many complete answers one is written.
+const CALM_SAMPLE: u32 = 64;
+
+thread_local! {
+    /// Complete answers since the last one that was written.
+    static CALM: Cell<u32> = const { Cell::new(0) };
+}
+
+/// Writes the line of one decision. Of complete answers a sample is written; all are counted.
 pub(crate) fn write(log: &Logger, note: &ForwardNote) {
     match note {
         ForwardNote::Extra {
@@ -30,7 +39,12 @@
             version,
         } => {
             let calm = matches!(*outcome, "reply" | "merged") && covered == shards;
-            if !calm {
+            let sampled = calm
+                && CALM.with(|count| {
+                    count.set((count.get() + 1) % CALM_SAMPLE);
+                    count.get() == 0
+                });
+            if !calm || sampled {
                 info!(log, "answered"; "request" => &**request, "route" => &**route, "outcome" => *outcome,
                     "covered" => *covered, "shards" => *shards, "elapsed_ms" => elapsed.as_millis() as u64,
                     "version" => *version);
--- a/crates/node/src/key_value_drain.rs
+++ b/crates/node/src/key_value_drain.rs
@@ -1,6 +1,9 @@
 //! Log lines of key=value pairs.
 
-use crate::log_limiter::{LogDecision, LogLimiter};
+use crate::{
+    log_limiter::{LogDecision, LogLimiter},
+    log_queue::LogQueue,
+};
 use slog::{Drain, KV, Key, Level, Logger, Never, OwnedKVList, Record, Serializer, o};
 use std::{
     fmt::{Arguments, Write as _},
@@ -8,7 +11,7 @@
     time::{SystemTime, UNIX_EPOCH},
 };
 
-/// One for the process, because all loggers write to the same standard error.
+/// One for the process, because all loggers write to the same output.
 static LIMITER: LogLimiter = LogLimiter::new();
 
 /// Lines that were not written because their event was too frequent.
@@ -16,15 +19,26 @@
     LIMITER.suppressed()
 }
 
-/// Writes one line a record to standard error: time, level, event and the record's pairs.
-#[derive(Clone, Copy, Debug)]
+/// Writes one line a record: time, level, event and the record's pairs.
+#[derive(Clone, Debug)]
 pub struct KeyValueDrain {
     level: Level,
+    /// Where lines go; standard error if there is no queue.
+    queue: Option<LogQueue>,
 }
 
 /// A logger that writes records of `level` and above to standard error.
 pub fn logger(level: Level) -> Logger {
-    Logger::root(KeyValueDrain { level }.fuse(), o!())
+    Logger::root(KeyValueDrain { level, queue: None }.fuse(), o!())
+}
+
+/// A logger that hands records of `level` and above to a queue.
+pub fn queued_logger(level: Level, queue: LogQueue) -> Logger {
+    let drain = KeyValueDrain {
+        level,
+        queue: Some(queue),
+    };
+    Logger::root(drain.fuse(), o!())
 }
 
 impl Drain for KeyValueDrain {
@@ -59,6 +73,10 @@
             let _infallible = write!(pairs.0, " suppressed_before={suppressed_before}");
         }
         line.push('\n');
+        if let Some(queue) = &self.queue {
+            queue.push(record.level(), line);
+            return Ok(());
+        }
         // A closed standard error must not end the node.
         let _closed = std::io::stderr().lock().write_all(line.as_bytes());
         Ok(())
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod link_queue;
 pub mod link_task;
 pub mod log_limiter;
+pub mod log_queue;
 pub mod metrics;
 pub mod node;
 pub mod node_error;
--- a/crates/node/src/log_limiter.rs
+++ b/crates/node/src/log_limiter.rs
@@ -6,7 +6,7 @@
 };
 
 /// Lines of one event that are written in a window.
-pub const BURST: u32 = 20;
+pub const BURST: u32 = 200;
 
 /// Length of a window, in seconds.
 pub const WINDOW_SECONDS: u64 = 10;
--- /dev/null
+++ b/crates/node/src/log_queue.rs
@@ -0,0 +1,115 @@
+//! Lines on their way to standard output, so that a reader that stops reading holds up nothing.
+
+use slog::Level;
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicU64, AtomicUsize, Ordering},
+        mpsc::{Receiver, SyncSender, sync_channel},
+    },
+    thread,
+};
+
+/// Lines that may wait; about 200 bytes each.
+const CAPACITY: usize = 4_096;
+
+/// Lines that may wait before those of level info and below are dropped, so that failures still find room.
+const INFO_CAPACITY: usize = CAPACITY * 3 / 4;
+
+/// Bytes that are collected for one write.
+const BATCH_BYTES: usize = 64 * 1024;
+
+/// A bounded queue of lines with a thread that writes them. A line that finds no room is dropped and counted.
+#[derive(Clone, Debug)]
+pub struct LogQueue {
+    tx: SyncSender<String>,
+    shared: Arc<Shared>,
+}
+
+#[derive(Debug, Default)]
+struct Shared {
+    waiting: AtomicUsize,
+    dropped_failures: AtomicU64,
+    dropped_infos: AtomicU64,
+}
+
+impl LogQueue {
+    /// Starts the thread that writes to `output`.
+    ///
+    /// # Errors
+    ///
+    /// If the system has no thread left.
+    pub fn start(output: impl std::io::Write + Send + 'static) -> std::io::Result<Self> {
+        let (tx, rx) = sync_channel(CAPACITY);
+        let shared = Arc::new(Shared::default());
+        let writer = Arc::clone(&shared);
+        thread::Builder::new()
+            .name("log".to_owned())
+            .spawn(move || write_lines(&rx, &writer, output))?;
+        Ok(Self { tx, shared })
+    }
+
+    /// Hands over one line with its line feed; never waits.
+    pub fn push(&self, level: Level, line: String) {
+        let is_failure = level.is_at_least(Level::Warning);
+        let waiting = self.shared.waiting.fetch_add(1, Ordering::Relaxed);
+        let has_room = is_failure || waiting < INFO_CAPACITY;
+        if has_room && self.tx.try_send(line).is_ok() {
+            return;
+        }
+        self.shared.waiting.fetch_sub(1, Ordering::Relaxed);
+        let dropped = if is_failure {
+            &self.shared.dropped_failures
+        } else {
+            &self.shared.dropped_infos
+        };
+        dropped.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Lines dropped so far: of level warning and above, and below.
+    pub fn dropped(&self) -> (u64, u64) {
+        let read = |count: &AtomicU64| count.load(Ordering::Relaxed);
+        (
+            read(&self.shared.dropped_failures),
+            read(&self.shared.dropped_infos),
+        )
+    }
+}
+
+/// Writes lines until the last sender is gone or the output is closed, and says in between how many were dropped.
+fn write_lines(rx: &Receiver<String>, shared: &Shared, mut output: impl std::io::Write) {
+    let mut told = (0, 0);
+    while let Ok(mut batch) = rx.recv() {
+        let mut lines = 1;
+        while batch.len() < BATCH_BYTES
+            && let Ok(line) = rx.try_recv()
+        {
+            batch.push_str(&line);
+            lines += 1;
+        }
+        shared.waiting.fetch_sub(lines, Ordering::Relaxed);
+        let dropped = (
+            shared.dropped_failures.load(Ordering::Relaxed),
+            shared.dropped_infos.load(Ordering::Relaxed),
+        );
+        if dropped != told {
+            let (failures, infos) = (dropped.0 - told.0, dropped.1 - told.1);
+            batch.extend([
+                "level=WARN event=log_lines_dropped failures=",
+                &failures.to_string(),
+                " infos=",
+                &infos.to_string(),
+                "\n",
+            ]);
+            told = dropped;
+        }
+        if output
+            .write_all(batch.as_bytes())
+            .and_then(|()| output.flush())
+            .is_err()
+        {
+            // A closed standard output must not end the node; later lines are counted as dropped.
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/tests/log_queue.rs
@@ -0,0 +1,48 @@
+//! Guards against a reader of standard output that stops reading and holds up the node.
+
+use medlarpost_node::log_queue::LogQueue;
+use slog::Level;
+use std::{
+    io::Write,
+    sync::mpsc::{Receiver, channel},
+    time::Duration,
+};
+
+/// An output that waits at its first write until the test lets it go on.
+struct Stuck(Receiver<()>);
+
+impl Write for Stuck {
+    fn write(&mut self, buf: &[u8]) -> std::io::Result<usize> {
+        // The test ends the wait by dropping its side.
+        let _released = self.0.recv();
+        Ok(buf.len())
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+#[test]
+fn a_stuck_output_drops_lines_and_keeps_room_for_failures() {
+    let (release, wait) = channel();
+    let queue = LogQueue::start(Stuck(wait)).expect("a thread can be started");
+    queue.push(Level::Info, "first\n".to_owned());
+    // The writer takes the first line and waits in its write.
+    std::thread::sleep(Duration::from_millis(50));
+
+    for _ in 0..10_000 {
+        queue.push(Level::Info, "calm\n".to_owned());
+    }
+    for _ in 0..100 {
+        queue.push(Level::Warning, "failure\n".to_owned());
+    }
+
+    let (failures, infos) = queue.dropped();
+    assert_eq!(failures, 0);
+    assert!(
+        (6_000..10_000).contains(&infos),
+        "{infos} of 10,000 dropped"
+    );
+    drop(release);
+}
