--- a/crates/node/src/registry_watcher.rs
+++ b/crates/node/src/registry_watcher.rs
@@ -14,6 +14,9 @@
 /// Longest wait after failed reads.
 const MAX_RETRY: Duration = Duration::from_secs(1);
 
+/// Entries that vanish together and are taken as lapsed: more than this many, and more than this share of all.
+const LAPSED_TOGETHER: (usize, f64) = (2, 0.1);
+
 /// How the registry is followed.
 #[derive(Clone, Copy, Debug)]
 pub struct WatchTerms {
@@ -154,6 +157,14 @@
 
     fn changed(&mut self, changes: Changes) {
         self.revision = Some(changes.revision);
+        let gone = |change: &&Change| matches!(change, Change::UpstreamGone(_));
+        let gone = changes.changes.iter().filter(gone).count();
+        let (count, share) = LAPSED_TOGETHER;
+        if gone > count && gone as f64 > share * self.known.len() as f64 {
+            // The registry may have been away without a failed read, and many entries lapsed meanwhile.
+            warn!(self.log, "entries_vanished_together"; "gone" => gone, "known" => self.known.len());
+            self.missing_until = Instant::now() + self.terms.return_grace;
+        }
         for change in changes.changes {
             match change {
                 Change::Written(document) => self.written(document),
