Ask more often while nothing is known, and send callers away for longer while a service has no upstreams

A node without entries asks every 200 ms at the latest; for the grace after a return watches follow each other after 250 ms; a service without upstreams answers Retry-After 1 s.

Ruled out: relaying configuration between nodes, because here no node has one.

--- a/crates/core/src/forward_replies.rs
+++ b/crates/core/src/forward_replies.rs
@@ -145,6 +145,7 @@
         event: FlowEvent,
         commands: &mut Vec<ForwardCommand>,
     ) {
+        let retry_after = self.retry_after(key);
         let Some(flow) = self.flows.get_mut(key) else {
             return;
         };
@@ -167,7 +168,7 @@
                     answer(now, flow, timed_out, commands);
                 }
                 FlowAction::Refuse => {
-                    let refusal = refusal(flow);
+                    let refusal = refusal(flow, retry_after);
                     answer(now, flow, refusal, commands);
                 }
             }
@@ -206,9 +207,8 @@
 }
 
 /// What a caller gets when nothing more can come.
-fn refusal(flow: &mut Flow) -> ForwardAnswer {
+fn refusal(flow: &mut Flow, retry_after: Duration) -> ForwardAnswer {
     if !flow.may_have_run && flow.answered() == 0 {
-        let retry_after = Forwarder::retry_after(flow.route());
         return ForwardAnswer::Refused(ForwardRefusal::Unavailable { retry_after });
     }
     failure(flow).unwrap_or(ForwardAnswer::Refused(ForwardRefusal::Unknown))
--- a/crates/core/src/forward_sends.rs
+++ b/crates/core/src/forward_sends.rs
@@ -12,8 +12,8 @@
 /// Share of a route's objective after which a refused caller should come back.
 const RETRY_AFTER_SHARE: f64 = 0.25;
 
-/// Wait that a caller is told when the node has no configuration yet.
-const NOT_READY_WAIT: Duration = Duration::from_millis(300);
+/// Wait that a caller is told when the node has no configuration yet, or no upstream of the service.
+const NOT_READY_WAIT: Duration = Duration::from_secs(1);
 
 /// Share of the allowed extra load that hedges leave for retries.
 const HEDGE_RESERVE: f64 = 0.15;
@@ -371,7 +371,15 @@
         }
     }
 
-    pub(crate) fn retry_after(route: &Route) -> Duration {
-        route.objective.mul_f64(RETRY_AFTER_SHARE)
+    /// When a caller of this flow that got nothing should come back.
+    pub(crate) fn retry_after(&self, key: FlowKey) -> Duration {
+        let Some(flow) = self.flows.get(key) else {
+            return NOT_READY_WAIT;
+        };
+        let is_empty = |shard: &ShardTry| self.services[shard.service].replicas.is_empty();
+        if flow.shards.iter().any(is_empty) {
+            return NOT_READY_WAIT;
+        }
+        flow.route().objective.mul_f64(RETRY_AFTER_SHARE)
     }
 }
--- a/crates/core/tests/forwarding.rs
+++ b/crates/core/tests/forwarding.rs
@@ -550,3 +550,21 @@
     let instances: Vec<_> = bench.sent().into_iter().map(|sent| sent.instance).collect();
     assert_eq!(instances, ["desk@z-b", "desk@z-a"]);
 }
+
+/// Guards against callers that come back before a service without upstreams can have one.
+#[test]
+fn a_service_without_upstreams_asks_for_more_patience_than_a_full_one() {
+    let mut empty = bench(vec![booking()], &[]);
+    empty.ask(request("/book/1"));
+    let mut full = bench(vec![booking()], &["z-a"]);
+    full.ask(request("/book/1"));
+    let sent = full.sent().remove(0);
+    full.finish(&sent, ForwardOutcome::NotRun(NotRunCause::Full));
+
+    let wait = |answer| match answer {
+        ForwardAnswer::Refused(ForwardRefusal::Unavailable { retry_after }) => retry_after,
+        other => panic!("not refused: {other:?}"),
+    };
+    assert_eq!(wait(empty.answer()), Duration::from_secs(1));
+    assert!(wait(full.answer()) < OBJECTIVE);
+}
--- a/crates/node/src/registry_watcher.rs
+++ b/crates/node/src/registry_watcher.rs
@@ -14,6 +14,12 @@
 /// Longest wait after failed reads.
 const MAX_RETRY: Duration = Duration::from_secs(1);
 
+/// Longest wait after failed reads of a node that has read nothing yet and therefore answers nothing.
+const MAX_FIRST_RETRY: Duration = Duration::from_millis(200);
+
+/// Longest time between two watches while entries come back after a failure or a start.
+const RETURN_PACE: Duration = Duration::from_millis(250);
+
 /// Entries that vanish together and are taken as lapsed: more than this many, and more than this share of all.
 const LAPSED_TOGETHER: (usize, f64) = (2, 0.1);
 
@@ -71,7 +77,7 @@
             let wait = match self.read().await {
                 Ok(()) => {
                     retry = FIRST_RETRY;
-                    self.terms.pace
+                    self.pace()
                 }
                 Err(RegistryFault::HistoryLost) => {
                     warn!(self.log, "registry_history_lost"; "revision" => self.revision);
@@ -81,7 +87,11 @@
                 Err(fault) => {
                     self.failed(&fault);
                     retry = (retry * 2).min(MAX_RETRY);
-                    retry / 2
+                    if self.known.is_empty() {
+                        retry.min(MAX_FIRST_RETRY)
+                    } else {
+                        retry
+                    }
                 }
             };
             tokio::time::sleep(wait).await;
@@ -106,6 +116,15 @@
         Ok(())
     }
 
+    fn pace(&self) -> Duration {
+        let returning = Instant::now() < self.missing_until;
+        if returning {
+            self.terms.pace.min(RETURN_PACE)
+        } else {
+            self.terms.pace
+        }
+    }
+
     /// Waits no longer than until missing entries are taken as gone.
     fn next_wait(&self) -> Duration {
         if self.missing.is_empty() {
