Refuse queries that would be late because of the queues of upstreams, urgent ones last

A request is refused at once when the upstreams of too many of its shards have queues, as they report them, longer than the objective; less urgent ranks from 70% of it.

--- a/crates/core/src/forward_command.rs
+++ b/crates/core/src/forward_command.rs
@@ -64,6 +64,15 @@
         /// Extra requests that the budget still allows.
         budget_left: f64,
     },
+    /// A request was refused because it would be late.
+    Overloaded {
+        /// Id of the caller's attempt.
+        request: Arc<str>,
+        /// Route.
+        route: Arc<str>,
+        /// Rank of the route.
+        rank: u32,
+    },
     /// A shard, or the one service, was given up.
     GaveUp {
         /// Id of the caller's attempt.
--- a/crates/core/src/forward_sends.rs
+++ b/crates/core/src/forward_sends.rs
@@ -24,6 +24,13 @@
 /// Least time for which an attempt is worth sending.
 const LEAST_TIME: Duration = Duration::from_millis(2);
 
+/// Share of the objective that the queues of upstreams may take before requests are refused, by rank: the most urgent
+/// ones, and all others. A request that would be late uses slots that another one needs to be in time.
+const QUEUE_SHARES: (f64, f64) = (1.0, 0.7);
+
+/// Most urgent rank that is refused last.
+const URGENT_RANK: u32 = 1;
+
 /// Why an attempt is sent.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum SendCause {
@@ -68,6 +75,15 @@
         };
         let route = table.route(index);
         let shards = self.shards(route);
+        if !self.fits(now, route, &shards) {
+            commands.push(ForwardCommand::Note(ForwardNote::Overloaded {
+                request: Arc::clone(&request.id),
+                route: Arc::clone(&route.name),
+                rank: route.rank,
+            }));
+            let retry_after = route.objective.mul_f64(RETRY_AFTER_SHARE);
+            return commands.push(refuse(ForwardRefusal::Unavailable { retry_after }));
+        }
         let merge = match &route.target {
             Target::Shards(target) => Some(Merge {
                 records: RecordMerge::new(target.limit),
@@ -110,6 +126,34 @@
         self.settle(now, flow, commands);
     }
 
+    /// Whether enough shards can answer within the objective as far as the queues of their upstreams show. Shards without
+    /// any upstream to judge by count as ones that can.
+    fn fits(&self, now: Timestamp, route: &Route, shards: &[ShardTry]) -> bool {
+        let Some(times) = self.times.get(&route.name) else {
+            return true;
+        };
+        let (urgent, others) = QUEUE_SHARES;
+        let share = if route.rank <= URGENT_RANK {
+            urgent
+        } else {
+            others
+        };
+        let most = times.objective() * share;
+        let min_coverage = match &route.target {
+            Target::Shards(target) => target.min_coverage,
+            Target::Service(_) | Target::Split(_) => 1.0,
+        };
+        let fitting = shards.iter().filter(|shard| {
+            let replicas = self.services[shard.service].replicas.iter();
+            let replicas = replicas.map(|key| &self.replicas[*key]);
+            let mut usable = replicas
+                .filter(|replica| replica.state == ReplicaState::Warm)
+                .peekable();
+            usable.peek().is_none() || usable.any(|replica| replica.queue_time(now, times) <= most)
+        });
+        fitting.count() as f64 >= min_coverage * shards.len() as f64 - 1e-9
+    }
+
     fn start_shard(
         &mut self,
         now: Timestamp,
--- a/crates/core/src/replica.rs
+++ b/crates/core/src/replica.rs
@@ -163,6 +163,12 @@
 
     /// Time in seconds until a reply is expected to a request with these usual reply times.
     pub(crate) fn expected(&self, now: Timestamp, times: &ReplyTimes) -> f64 {
+        let failing = self.failures(now) * FAILURE_COST * times.objective();
+        self.queue_time(now, times) + self.silence(now, times) + failing
+    }
+
+    /// Time in seconds that a request spends waiting and running there.
+    pub(crate) fn queue_time(&self, now: Timestamp, times: &ReplyTimes) -> f64 {
         let service_time = times.mean() * self.slowness(now);
         let own = self.running.len() as u32;
         let reported = match self.load {
@@ -174,8 +180,7 @@
         let waits = f64::from((ahead + 1).saturating_sub(slots)) / f64::from(slots);
         // An idle upstream is a little better than a busy one.
         let busy = f64::from(ahead.min(slots)) / f64::from(slots) * 0.1;
-        let failing = self.failures(now) * FAILURE_COST * times.objective();
-        service_time * (1.0 + waits + busy) + self.silence(now, times) + failing
+        service_time * (1.0 + waits + busy)
     }
 
     /// How long it has been silent, in seconds, if that is longer than a reply takes; otherwise 0.
--- a/crates/core/tests/forward_bench/mod.rs
+++ b/crates/core/tests/forward_bench/mod.rs
@@ -166,10 +166,19 @@
     }
 
     pub fn finish(&mut self, sent: &Sent, outcome: ForwardOutcome) {
+        self.finish_with(sent, outcome, None);
+    }
+
+    pub fn finish_with(
+        &mut self,
+        sent: &Sent,
+        outcome: ForwardOutcome,
+        load: Option<ReportedLoad>,
+    ) {
         self.event(ForwardEvent::Finished(AttemptEnd {
             attempt: sent.attempt,
             outcome,
-            load: None,
+            load,
         }));
     }
 
--- a/crates/node/src/forward_log.rs
+++ b/crates/node/src/forward_log.rs
@@ -22,6 +22,13 @@
             budget_left,
         } => info!(log, "extra_attempt"; "request" => &**request, "service" => &**service,
             "instance" => &**instance, "cause" => *cause, "budget_left" => *budget_left),
+        ForwardNote::Overloaded {
+            request,
+            route,
+            rank,
+        } => {
+            info!(log, "refused_overloaded"; "request" => &**request, "route" => &**route, "rank" => *rank);
+        }
         ForwardNote::GaveUp {
             request,
             service,
