Note which upstream a missing shard was asked of, and for how long

Cause: an answer with 9 of 10 shards left one line, which did not name the shard that was late, so that the way from its id to the slow upstream ended there.

One line for each attempt that still runs when an answer is due. Ruled out: a line for each send, ten times the volume. The new test fails without the change.

--- a/crates/core/src/forward_command.rs
+++ b/crates/core/src/forward_command.rs
@@ -84,6 +84,17 @@
         /// Attempts that were sent.
         sent: u32,
     },
+    /// A shard had not answered when the caller's answer went out.
+    CutOff {
+        /// Id of the caller's attempt.
+        request: Arc<str>,
+        /// Service of the shard.
+        service: Arc<str>,
+        /// Instance that was asked.
+        instance: Arc<str>,
+        /// Time since it was asked.
+        waited: Duration,
+    },
     /// A caller got its answer.
     Answered {
         /// Id of the caller's attempt.
--- a/crates/core/src/forward_replies.rs
+++ b/crates/core/src/forward_replies.rs
@@ -138,6 +138,30 @@
         }));
     }
 
+    /// Records the attempts that still run when an answer is due.
+    fn note_cut_off(&self, now: Timestamp, key: FlowKey, commands: &mut Vec<ForwardCommand>) {
+        let Some(flow) = self.flows.get(key) else {
+            return;
+        };
+        let open = flow
+            .shards
+            .iter()
+            .filter(|shard| shard.progress == Progress::Open);
+        for (attempt, upstream) in open.flat_map(|shard| &shard.running) {
+            let (Some(attempt), Some(replica)) =
+                (self.attempts.get(*attempt), self.replicas.get(*upstream))
+            else {
+                continue;
+            };
+            commands.push(ForwardCommand::Note(ForwardNote::CutOff {
+                request: Arc::clone(&flow.request.id),
+                service: Arc::clone(&replica.entry.service),
+                instance: Arc::clone(&replica.entry.instance),
+                waited: now.since(attempt.sent),
+            }));
+        }
+    }
+
     pub(crate) fn step_flow(
         &mut self,
         now: Timestamp,
@@ -146,7 +170,7 @@
         commands: &mut Vec<ForwardCommand>,
     ) {
         let retry_after = self.retry_after(key);
-        let Some(flow) = self.flows.get_mut(key) else {
+        let Some(flow) = self.flows.get(key) else {
             return;
         };
         let step = self
@@ -154,6 +178,12 @@
             .step(flow.state, event, |guard| match guard {
                 FlowGuard::Covered => flow.is_success(flow.answered()),
             });
+        if step.next == FlowState::Answered {
+            self.note_cut_off(now, key, commands);
+        }
+        let Some(flow) = self.flows.get_mut(key) else {
+            return;
+        };
         flow.state = step.next;
         for action in step.actions {
             match action {
--- a/crates/core/tests/forward_bench/mod.rs
+++ b/crates/core/tests/forward_bench/mod.rs
@@ -243,6 +243,17 @@
         answers.remove(0).1
     }
 
+    /// Shards that were cut off since the start: who was asked and for how long.
+    pub fn cut_off(&self) -> Vec<(String, Duration)> {
+        let noted = self.commands.iter().filter_map(|command| match command {
+            ForwardCommand::Note(ForwardNote::CutOff {
+                instance, waited, ..
+            }) => Some((instance.to_string(), *waited)),
+            _ => None,
+        });
+        noted.collect()
+    }
+
     /// Beliefs about upstreams that changed since the last look.
     pub fn beliefs(&mut self) -> Vec<(String, ReplicaState)> {
         let beliefs = self.commands.iter().filter_map(|command| match command {
--- a/crates/core/tests/forwarding.rs
+++ b/crates/core/tests/forwarding.rs
@@ -633,3 +633,19 @@
         [true, true]
     );
 }
+
+/// Guards against a missing shard of which the log does not say who was asked and for how long.
+#[test]
+fn a_shard_that_is_cut_off_is_noted_with_its_upstream() {
+    let mut bench = bench(vec![route("q", shards(10, 0.9))], &["z-a"]);
+    bench.ask(request("/q/1"));
+    for sent in &bench.sent()[1..] {
+        bench.finish(sent, served(LOW));
+    }
+
+    bench.pass(OBJECTIVE);
+
+    let noted = bench.cut_off();
+    let waited = Duration::from_millis(110);
+    assert_eq!(noted, [("shard-0@z-a".to_owned(), waited)]);
+}
--- a/crates/node/src/forward_log.rs
+++ b/crates/node/src/forward_log.rs
@@ -36,6 +36,13 @@
             sent,
         } => info!(log, "shard_given_up"; "request" => &**request, "service" => &**service,
             "cause" => *cause, "sent" => *sent),
+        ForwardNote::CutOff {
+            request,
+            service,
+            instance,
+            waited,
+        } => info!(log, "shard_cut_off"; "request" => &**request, "service" => &**service,
+            "instance" => &**instance, "waited_ms" => waited.as_millis() as u64),
         ForwardNote::Answered {
             request,
             route,
--- a/crates/node/src/forward_metrics.rs
+++ b/crates/node/src/forward_metrics.rs
@@ -70,6 +70,9 @@
     pub(crate) fn noted(&self, note: &ForwardNote) {
         match note {
             ForwardNote::Extra { cause, .. } => self.extra.with_label_values(&[*cause]).inc(),
+            ForwardNote::CutOff { .. } => {
+                self.given_up.with_label_values(&["cut_off"]).inc();
+            }
             ForwardNote::Overloaded { .. } => {
                 self.given_up.with_label_values(&["overloaded"]).inc();
             }
