--- a/crates/core/src/forward_command.rs
+++ b/crates/core/src/forward_command.rs
@@ -79,6 +79,8 @@
         request: Arc<str>,
         /// Service that was given up.
         service: Arc<str>,
+        /// Instance that was asked last, unless nothing was sent or it has ended.
+        instance: Option<Arc<str>>,
         /// Last outcome, or why nothing was sent.
         cause: &'static str,
         /// Attempts that were sent.
--- a/crates/core/src/forward_replies.rs
+++ b/crates/core/src/forward_replies.rs
@@ -130,9 +130,11 @@
         let shard = &mut flow.shards[shard];
         shard.progress = Progress::GivenUp;
         shard.hedge_at = None;
+        let last = shard.tried.last().and_then(|key| self.replicas.get(*key));
         commands.push(ForwardCommand::Note(ForwardNote::GaveUp {
             request: Arc::clone(&flow.request.id),
             service: Arc::clone(&self.services[shard.service].name),
+            instance: last.map(|replica| Arc::clone(&replica.entry.instance)),
             cause: shard.last,
             sent: shard.tried.len() as u32,
         }));
--- a/crates/node/src/forward_log.rs
+++ b/crates/node/src/forward_log.rs
@@ -32,9 +32,11 @@
         ForwardNote::GaveUp {
             request,
             service,
+            instance,
             cause,
             sent,
         } => info!(log, "shard_given_up"; "request" => &**request, "service" => &**service,
+            "instance" => instance.as_deref().unwrap_or("none"),
             "cause" => *cause, "sent" => *sent),
         ForwardNote::CutOff {
             request,
