Let a fleet of the design size become known, within 6 KB a second

Cause: beats named the 64 nodes that were heard last, so that all nodes told the same few. A test with 440 nodes found 34 of them after ten rounds; each node would have taken 13 times its share of every limit. Five beats of 1.8 KB a second were also more than the 6 KB that control may spend.

Beats name a random choice and the number of nodes that the sender knows; the largest number told in the last 10 s counts. A round goes to four members while new ones appear, then to two.

Ruled out: 32 names a beat (436 of 440 after 30 rounds, and 40 nodes need a fifth round); two members from the start (435 of 440).

--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -6,15 +6,19 @@
 /// Members that one beat names at most.
 const HEARD_IN_BEAT: usize = 64;
 
-/// Members that one round of beats goes to at most, so that a node's traffic does not grow with the fleet.
-const FAN_OUT: usize = 4;
+/// Members that one round of beats goes to at most, so that a node's traffic does not grow with the fleet: while the fleet
+/// is still becoming known, and afterwards.
+const FAN_OUT: (usize, usize) = (4, 2);
+
+/// Time since the last new member after which the fleet counts as known.
+const SETTLED_AFTER: Duration = Duration::from_secs(10);
 
 /// Time for which a silent member counts. A cut node must not take the fleet for smaller than it is: the limits are sums
 /// over all nodes, also over those on the other side.
 const MEMORY: Duration = Duration::from_mins(1);
 
 /// Age at which a member is no longer told to others, so that a node that is gone is forgotten by all.
-const TOLD_FOR: Duration = Duration::from_secs(5);
+const TOLD_FOR: Duration = Duration::from_secs(10);
 
 /// What a node knows before it has heard anything.
 #[derive(Clone, Debug)]
@@ -34,10 +38,12 @@
 pub struct MemberBeat {
     /// Where the sender takes beats.
     pub address: SocketAddr,
-    /// Other nodes, most recently heard first.
+    /// Other nodes that were heard lately, in no order.
     pub heard: Vec<HeardMember>,
     /// Whether the sender wants a beat in return at once.
     pub answer_wanted: bool,
+    /// Nodes that the sender knows, itself included.
+    pub fleet: u32,
 }
 
 /// A node and how long ago there was a sign of it.
@@ -55,6 +61,10 @@
     settings: MembershipSettings,
     /// Last sign of each other node, its own or one that another node told.
     members: BTreeMap<SocketAddr, Timestamp>,
+    /// Largest fleet that another node has told lately, and when.
+    told: Option<(u32, Timestamp)>,
+    /// When a member was last added.
+    grown: Timestamp,
     random: fastrand::Rng,
 }
 
@@ -65,21 +75,39 @@
         Self {
             settings,
             members: BTreeMap::new(),
+            told: None,
+            grown: Timestamp::ZERO,
             random,
         }
     }
 
     /// Nodes that share the limits, this one included.
     pub fn size(&mut self, now: Timestamp) -> u32 {
-        self.members.retain(|_, heard| now.since(*heard) < MEMORY);
+        self.forget(now);
         if self.members.is_empty() {
             return self.settings.assumed_fleet.max(1);
         }
+        let told = self.told.filter(|(_, at)| now.since(*at) < TOLD_FOR);
+        self.known().max(told.map_or(0, |(fleet, _)| fleet))
+    }
+
+    fn forget(&mut self, now: Timestamp) {
+        self.members.retain(|_, heard| now.since(*heard) < MEMORY);
+    }
+
+    fn known(&self) -> u32 {
         self.members.len() as u32 + 1
     }
 
     /// Takes a beat. Returns the one to answer with, if one is wanted.
     pub fn heard(&mut self, now: Timestamp, beat: &MemberBeat) -> Option<MemberBeat> {
+        if self
+            .told
+            .is_none_or(|(fleet, at)| beat.fleet >= fleet || now.since(at) >= TOLD_FOR)
+        {
+            self.told = Some((beat.fleet, now));
+        }
+        let known = self.members.len();
         self.sign(beat.address, now);
         for member in &beat.heard {
             // Ages are cut at the origin of this process's time, before which nothing was heard.
@@ -87,16 +115,22 @@
                 self.sign(member.address, now - member.age);
             }
         }
+        if self.members.len() > known {
+            self.grown = now;
+        }
         beat.answer_wanted.then(|| self.beat(now, false))
     }
 
     /// Where the next round of beats goes, and the beat. Until another node was heard, and now and then afterwards, it
     /// goes to the seeds as well, so that groups that lost each other meet again.
     pub fn round(&mut self, now: Timestamp) -> (Vec<SocketAddr>, MemberBeat) {
+        self.forget(now);
         let alone = self.members.is_empty();
         let mut targets: Vec<SocketAddr> = self.members.keys().copied().collect();
         self.random.shuffle(&mut targets);
-        targets.truncate(FAN_OUT);
+        let (settling, settled) = FAN_OUT;
+        let is_settled = now.since(self.grown) >= SETTLED_AFTER;
+        targets.truncate(if is_settled { settled } else { settling });
         let seeds = self.settings.seeds.iter().copied();
         let seeds: Vec<_> = seeds
             .filter(|seed| *seed != self.settings.address)
@@ -112,7 +146,7 @@
         (targets, self.beat(now, alone))
     }
 
-    fn beat(&self, now: Timestamp, answer_wanted: bool) -> MemberBeat {
+    fn beat(&mut self, now: Timestamp, answer_wanted: bool) -> MemberBeat {
         let mut heard: Vec<_> = self
             .members
             .iter()
@@ -122,12 +156,14 @@
             })
             .filter(|member| member.age < TOLD_FOR)
             .collect();
-        heard.sort_by_key(|member| member.age);
+        // A choice by age would tell all the same few, and a large fleet would never be known.
+        self.random.shuffle(&mut heard);
         heard.truncate(HEARD_IN_BEAT);
         MemberBeat {
             address: self.settings.address,
             heard,
             answer_wanted,
+            fleet: self.known(),
         }
     }
 
--- a/crates/core/tests/membership.rs
+++ b/crates/core/tests/membership.rs
@@ -86,3 +86,17 @@
 
     assert_eq!(nodes[1].size(Timestamp::from_millis(80_000)), 3);
 }
+
+/// Guards against a fleet of the design size in which beats name too few nodes for all to be known.
+#[test]
+fn nodes_of_the_design_size_find_all_others_within_seconds() {
+    let mut nodes: Vec<_> = (0..440).map(|number| node(number, &[0, 1, 2])).collect();
+
+    for second in 0..30 {
+        round(&mut nodes, Timestamp::from_millis(second * 1_000), |_| true);
+    }
+
+    let now = Timestamp::from_millis(30_000);
+    let smallest = nodes.iter_mut().map(|node| node.size(now)).min();
+    assert_eq!(smallest, Some(440));
+}
--- a/crates/wire/src/beat_codec.rs
+++ b/crates/wire/src/beat_codec.rs
@@ -7,6 +7,9 @@
 /// Version of the protocol.
 const MAJOR: u32 = 1;
 
+/// Largest fleet that a beat may tell of.
+const MAX_FLEET: u32 = 100_000;
+
 /// Longest datagram, in bytes: 64 nodes of about 30 bytes, within one packet of the network.
 pub const MAX_DATAGRAM: usize = 4096;
 
@@ -27,6 +30,7 @@
             address: item.address.to_string(),
             heard: heard.collect(),
             answer_wanted: item.answer_wanted,
+            fleet: item.fleet,
         };
         dst.reserve(message.encoded_len());
         message.encode(dst)?;
@@ -66,5 +70,6 @@
         address: message.address.parse().ok()?,
         heard: heard.collect::<Option<_>>()?,
         answer_wanted: message.answer_wanted,
+        fleet: message.fleet.min(MAX_FLEET),
     })
 }
--- a/crates/wire/src/gen/medlarpost.member.rs
+++ b/crates/wire/src/gen/medlarpost.member.rs
@@ -8,12 +8,15 @@
     /// Where the sender takes datagrams, IP:PORT.
     #[prost(string, tag = "2")]
     pub address: ::prost::alloc::string::String,
-    /// Other nodes, most recently heard first; at most 64.
+    /// Some other nodes that were heard lately; at most 64.
     #[prost(message, repeated, tag = "3")]
     pub heard: ::prost::alloc::vec::Vec<Heard>,
     /// Whether the sender wants a beat in return at once.
     #[prost(bool, tag = "4")]
     pub answer_wanted: bool,
+    /// Nodes that the sender knows, itself included.
+    #[prost(uint32, tag = "5")]
+    pub fleet: u32,
 }
 /// A node and how long ago it was heard.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/crates/wire/tests/beats.rs
+++ b/crates/wire/tests/beats.rs
@@ -15,6 +15,7 @@
             age: Duration::from_millis(1_200),
         }],
         answer_wanted: true,
+        fleet: 7,
     };
     let mut datagram = BytesMut::new();
 
