Judge overload by the queues of upstreams alone

The expected time of a slow upstream with an empty queue was taken for a queue, and two such shards of ten are enough to refuse.

The queue counts at the usual reply time. Ruled out: counting suspects as fitting, which hides the overload after crashes.

--- a/crates/core/src/replica.rs
+++ b/crates/core/src/replica.rs
@@ -164,23 +164,33 @@
     /// Time in seconds until a reply is expected to a request with these usual reply times.
     pub(crate) fn expected(&self, now: Timestamp, times: &ReplyTimes) -> f64 {
         let failing = self.failures(now) * FAILURE_COST * times.objective();
-        self.queue_time(now, times) + self.silence(now, times) + failing
+        let service_time = times.mean() * self.slowness(now);
+        // An idle upstream is a little better than a busy one.
+        let slots = self.entry.slots.max(1);
+        let busy = f64::from(self.ahead(now).min(slots)) / f64::from(slots) * 0.1;
+        let time = service_time * (1.0 + self.rounds_ahead(now) + busy);
+        time + self.silence(now, times) + failing
     }
 
-    /// Time in seconds that a request spends waiting and running there.
+    /// Time in seconds that a request spends there because of the requests before it. A slow upstream with an empty queue
+    /// is not overloaded.
     pub(crate) fn queue_time(&self, now: Timestamp, times: &ReplyTimes) -> f64 {
-        let service_time = times.mean() * self.slowness(now);
-        let own = self.running.len() as u32;
+        times.mean() * (1.0 + self.rounds_ahead(now))
+    }
+
+    /// How often all its slots are used before a new request gets one.
+    fn rounds_ahead(&self, now: Timestamp) -> f64 {
+        let slots = self.entry.slots.max(1);
+        f64::from((self.ahead(now) + 1).saturating_sub(slots)) / f64::from(slots)
+    }
+
+    /// Requests that run or wait there, as far as is known.
+    fn ahead(&self, now: Timestamp) -> u32 {
         let reported = match self.load {
             Some((at, load)) if now.since(at) < LOAD_LIFETIME => load.running + load.waiting,
             _ => 0,
         };
-        let slots = self.entry.slots.max(1);
-        let ahead = own.max(reported);
-        let waits = f64::from((ahead + 1).saturating_sub(slots)) / f64::from(slots);
-        // An idle upstream is a little better than a busy one.
-        let busy = f64::from(ahead.min(slots)) / f64::from(slots) * 0.1;
-        service_time * (1.0 + waits + busy)
+        reported.max(self.running.len() as u32)
     }
 
     /// How long it has been silent, in seconds, if that is longer than a reply takes; otherwise 0.
