--- a/crates/core/src/forwarder.rs
+++ b/crates/core/src/forwarder.rs
@@ -195,6 +195,11 @@
                 self.service(&service);
             }
         }
+        // What is known of routes that are gone is of no use.
+        let names: BTreeSet<_> = table.routes().iter().map(|route| &route.name).collect();
+        self.times.retain(|name, _| names.contains(name));
+        self.longest_wait.retain(|name, _| names.contains(name));
+        self.split_credit.retain(|name, _| names.contains(name));
         let (version, routes) = (table.version, table.routes().len());
         commands.push(ForwardCommand::Note(ForwardNote::InForce {
             version,
--- a/crates/core/tests/forwarding.rs
+++ b/crates/core/tests/forwarding/decisions.rs
@@ -1,11 +1,9 @@
 //! Forwarded requests: which failure of the platform each decision guards against.
 
-mod forward_bench;
-
-use bytes::Bytes;
-use forward_bench::{
-    OBJECTIVE, TIMEOUT, bench, reply, request, route, served, shards, table, upstream,
+use crate::forward_bench::{
+    self, OBJECTIVE, TIMEOUT, bench, reply, request, route, served, shards, table, upstream,
 };
+use bytes::Bytes;
 use medlarpost_core::prelude::*;
 use std::collections::BTreeSet;
 
--- a/crates/core/tests/forward_bench/mod.rs
+++ b/crates/core/tests/forwarding/forward_bench.rs
@@ -15,6 +15,8 @@
     commands: Vec<ForwardCommand>,
     callers: SlotMap<CallerKey, ()>,
     opened: BTreeMap<String, UpstreamKey>,
+    /// Caller of the last request with each id.
+    asked: BTreeMap<Arc<str>, CallerKey>,
 }
 
 /// One attempt that was sent.
@@ -142,6 +144,7 @@
             commands: Vec::new(),
             callers: SlotMap::with_key(),
             opened: BTreeMap::new(),
+            asked: BTreeMap::new(),
         }
     }
 
@@ -160,6 +163,7 @@
 
     pub fn ask(&mut self, request: ForwardRequest) -> CallerKey {
         let caller = self.callers.insert(());
+        self.asked.insert(Arc::clone(&request.id), caller);
         let request = Arc::new(request);
         self.event(ForwardEvent::Request { caller, request });
         caller
@@ -194,15 +198,24 @@
 
     /// Attempts that were sent since the last look.
     pub fn sent(&mut self) -> Vec<Sent> {
+        self.sent_for().into_iter().map(|(_, sent)| sent).collect()
+    }
+
+    /// Attempts that were sent since the last look, with the caller that each is for.
+    pub fn sent_for(&mut self) -> Vec<(CallerKey, Sent)> {
         let sent = self.commands.iter().filter_map(|command| match command {
             ForwardCommand::Send {
-                attempt, upstream, ..
+                attempt,
+                upstream,
+                request,
+                ..
             } => {
                 let opened = self.opened.iter().find(|(_, key)| *key == upstream);
-                Some(Sent {
+                let sent = Sent {
                     attempt: *attempt,
                     instance: opened.expect("an upstream is opened first").0.clone(),
-                })
+                };
+                Some((self.asked[&request.id], sent))
             }
             _ => None,
         });
--- /dev/null
+++ b/crates/core/tests/forwarding/main.rs
@@ -0,0 +1,5 @@
+//! Tests of the decisions about forwarded requests.
+
+mod decisions;
+mod forward_bench;
+mod schedules;
