--- a/crates/core/tests/forwarding/forward_bench.rs
+++ b/crates/core/tests/forwarding/forward_bench.rs
@@ -7,6 +7,20 @@
 pub const OBJECTIVE: Duration = Duration::from_millis(120);
 pub const TIMEOUT: Duration = Duration::from_millis(800);
 
+pub const LOW: &[u8] = b"0000000000000001";
+pub const HIGH: &[u8] = b"9000000000000001";
+
+pub fn single(name: &str) -> Route {
+    route(name, Target::Service("desk".into()))
+}
+
+pub fn booking() -> Route {
+    Route {
+        repeatable: false,
+        ..single("book")
+    }
+}
+
 /// A forwarder, the time, and what it asked for since the last look.
 #[derive(Debug)]
 pub struct Bench {
--- a/crates/core/tests/forwarding/main.rs
+++ b/crates/core/tests/forwarding/main.rs
@@ -2,4 +2,5 @@
 
 mod decisions;
 mod forward_bench;
+mod replicas;
 mod schedules;
--- a/crates/medlarpost/src/platform_run.rs
+++ b/crates/medlarpost/src/platform_run.rs
@@ -1,9 +1,7 @@
 //! Runs a node on the users' platform until it is told to stop.
 
-use crate::run::{EXIT_SETTINGS, stop_signal};
-use medlarpost_node::{
-    forward_node::ForwardNode, key_value_drain, log_queue::LogQueue, prelude::NodeError,
-};
+use crate::run::{EXIT_SETTINGS, log_queue, stop_signal};
+use medlarpost_node::{forward_node::ForwardNode, key_value_drain, prelude::NodeError};
 use medlarpost_platform::{PlatformDialect, PlatformSettings, PlatformStore};
 use slog::{Level, Logger, error, o};
 use std::{path::Path, process::ExitCode};
@@ -18,12 +16,8 @@
             return ExitCode::from(EXIT_SETTINGS);
         }
     };
-    let queue = match LogQueue::start(std::io::stdout()) {
-        Ok(queue) => queue,
-        Err(fault) => {
-            eprintln!("error: no thread for the log: {fault}; raise the limit of threads");
-            return ExitCode::FAILURE;
-        }
+    let Some(queue) = log_queue() else {
+        return ExitCode::FAILURE;
     };
     let log = key_value_drain::queued_logger(Level::Info, queue)
         .new(o!("node" => settings.node_name().to_owned()));
--- a/crates/medlarpost/src/run.rs
+++ b/crates/medlarpost/src/run.rs
@@ -51,12 +51,8 @@
                 return ExitCode::from(EXIT_SETTINGS);
             }
         };
-    let queue = match LogQueue::start(std::io::stdout()) {
-        Ok(queue) => queue,
-        Err(fault) => {
-            eprintln!("error: no thread for the log: {fault}; raise the limit of threads");
-            return ExitCode::FAILURE;
-        }
+    let Some(queue) = log_queue() else {
+        return ExitCode::FAILURE;
     };
     let log = key_value_drain::queued_logger(level, queue);
     match actix_rt::System::new().block_on(run_node(settings, tls, log)) {
@@ -88,6 +84,17 @@
     }
 }
 
+/// The queue to standard output, or `None` after an error line.
+pub(crate) fn log_queue() -> Option<LogQueue> {
+    match LogQueue::start(std::io::stdout()) {
+        Ok(queue) => Some(queue),
+        Err(fault) => {
+            eprintln!("error: no thread for the log: {fault}; raise the limit of threads");
+            None
+        }
+    }
+}
+
 /// Start number and ticket key. The number is the wall clock in microseconds, so that two starts of a node differ.
 fn start_values() -> Option<StartValues> {
     let mut ticket_key = [0; 32];
