--- a/crates/node/src/registry_watcher.rs
+++ b/crates/node/src/registry_watcher.rs
@@ -17,6 +17,10 @@
 /// Longest wait after failed reads of a node that has read nothing yet and therefore answers nothing.
 const MAX_FIRST_RETRY: Duration = Duration::from_millis(200);
 
+/// Wait of the first watch after a failure. It must show soon whether the registry answers again; a long one that is lost
+/// as well would hide its return.
+const FIRST_WAIT: Duration = Duration::from_millis(100);
+
 /// Longest time between two watches while entries come back after a failure or a start.
 const RETURN_PACE: Duration = Duration::from_millis(250);
 
@@ -125,8 +129,11 @@
         }
     }
 
-    /// Waits no longer than until missing entries are taken as gone.
+    /// Waits no longer than until missing entries are taken as gone, and shortly after a failure.
     fn next_wait(&self) -> Duration {
+        if self.failing {
+            return FIRST_WAIT;
+        }
         if self.missing.is_empty() {
             return self.terms.wait;
         }
