Remove an unused digest, and name the parts of a read request at once

Found on reading the whole change: ForwardRequest::digest has no caller, because the forwarding path has no quarantine yet, and a tuple was named only to be taken apart. No behaviour changes; formatter, linter and the tests of forwarder and platform are green.

--- a/crates/core/src/forward_request.rs
+++ b/crates/core/src/forward_request.rs
@@ -27,14 +27,6 @@
     pub fn path(&self) -> &str {
         self.target.split('?').next().unwrap_or_default()
     }
-
-    /// Digest of what makes two requests the same work.
-    pub fn digest(&self) -> Digest {
-        let head = format!("{} {} {}\n", self.method, self.host, self.target);
-        let mut bytes = head.into_bytes();
-        bytes.extend_from_slice(&self.body);
-        Digest::of(&bytes)
-    }
 }
 
 /// A complete reply of an upstream.
--- a/crates/node/src/caller_connection.rs
+++ b/crates/node/src/caller_connection.rs
@@ -107,7 +107,7 @@
     async fn read_request(&mut self) -> Result<(Request, Bytes), ReadEnd> {
         let limits = *self.parts.limits.borrow();
         let mut deadline = None;
-        let before = loop {
+        let (req, head_bytes) = loop {
             let before = self.stream.input.len();
             match self.codec.decode(&mut self.stream.input) {
                 Ok(Some(Message::Item(req))) => break (req, before - self.stream.input.len()),
@@ -134,7 +134,6 @@
             let deadline = *deadline.get_or_insert_with(|| Instant::now() + limits.head_timeout);
             self.fill_until(deadline).await?;
         };
-        let (req, head_bytes) = before;
         if head_bytes > limits.max_head_bytes {
             return Err(ReadEnd::Rejected(
                 StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
