Doubt what was known of upstreams after a lapse, and ask peers again

Change: when freshness returns after a lapse, every warm upstream becomes unknown (event missed_news of the chart), so that only its steward may send until a reply, a probe or a peer shows that it is warm. The engine says that it is unable, the node asks three linked peers for their states and is not ready until it knows warm upstreams, for 2 s at most.

--- a/crates/core/src/command.rs
+++ b/crates/core/src/command.rs
@@ -87,8 +87,11 @@
     },
     /// Tell all peers.
     Share(News),
-    /// Each service can be answered by warm upstreams, or the longest wait for that has passed. Given once.
+    /// Each service can be answered by warm upstreams, or the longest wait for that has passed. Given once after
+    /// the start and after each [`Command::Unable`].
     Able,
+    /// News of peers was missed, so that no upstream is known to be warm.
+    Unable,
     /// Draining is complete: nothing runs any more.
     Drained,
 }
--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -82,7 +82,7 @@
             searches: Searches::new()?,
             bookings,
             drained: false,
-            ability: Ability::default(),
+            ability: Ability::of_start(),
             late_replies: 0,
         })
     }
@@ -98,8 +98,7 @@
                 self.shared.upstreams.fleet_changed(now, &view, commands);
             }
             Event::Freshness(until) => {
-                self.shared.fresh_until = until;
-                self.searches.freshened(&mut self.shared, now, commands);
+                self.freshened(now, until, commands);
             }
             Event::Search(request) => {
                 self.searches
@@ -193,6 +192,18 @@
         }
     }
 
+    /// Takes over until when new work may be accepted. After a lapse, what peers know of upstreams was missed.
+    fn freshened(&mut self, now: Timestamp, until: Timestamp, commands: &mut Vec<Command>) {
+        let lapsed = self.shared.fresh_until;
+        if lapsed > Timestamp::ZERO && lapsed <= now {
+            self.shared.upstreams.missed_news(now, commands);
+            self.ability = Ability::of_return();
+            commands.push(Command::Unable);
+        }
+        self.shared.fresh_until = until;
+        self.searches.freshened(&mut self.shared, now, commands);
+    }
+
     fn reply(&mut self, now: Timestamp, reply: Reply, commands: &mut Vec<Command>) {
         // A second reply to the same attempt finds its key out of use and is dropped.
         let Some(attempt) = self.shared.attempts.remove(reply.attempt) else {
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -116,7 +116,12 @@
             .is_some_and(|peer| self.is_published(&peer.name))
     }
 
-    /// Peers with a link.
+    /// Keys of the peers with a link.
+    pub fn peers(&self) -> impl Iterator<Item = PeerKey> {
+        self.peers.keys()
+    }
+
+    /// Number of peers with a link.
     pub fn reached(&self) -> usize {
         self.peers.len()
     }
--- a/crates/core/src/node_life.rs
+++ b/crates/core/src/node_life.rs
@@ -46,6 +46,8 @@
         Granted = "granted",
         /// The engine can answer.
         Able = "able",
+        /// The engine no longer knows which upstreams are warm.
+        Unable = "unable",
         /// The confirmation ran out.
         Lapsed = "lapsed",
         /// The process is asked to end.
--- a/crates/core/src/upstream_chart.rs
+++ b/crates/core/src/upstream_chart.rs
@@ -39,6 +39,8 @@
         ColdNews = "cold_news",
         /// The steward found it warm.
         WarmNews = "warm_news",
+        /// This node was cut off for a time in which peers may have found it cold.
+        MissedNews = "missed_news",
         /// The bundle takes its zone out.
         ZoneOut = "zone_out",
         /// The bundle marks it as leaving.
--- a/crates/core/src/upstreams.rs
+++ b/crates/core/src/upstreams.rs
@@ -207,6 +207,16 @@
         }
     }
 
+    /// Takes account of a time in which news of peers may have been missed.
+    pub(crate) fn missed_news(&mut self, now: Timestamp, commands: &mut Vec<Command>) {
+        if self.policy == PolicyMode::Baseline {
+            return;
+        }
+        for member in self.arena.values_mut() {
+            member.sign(&self.chart, now, UpstreamSign::MissedNews, commands);
+        }
+    }
+
     /// What a newly connected peer must hear.
     pub(crate) fn states(&self) -> Vec<News> {
         self.arena
--- /dev/null
+++ b/crates/core/tests/lapses.rs
@@ -0,0 +1,114 @@
+//! Guards against a node that overloads a cold upstream because it trusts what it believed before it was cut off.
+
+mod fixtures;
+
+use medlarpost_core::prelude::*;
+
+const LAPSE: Timestamp = Timestamp::from_millis(2_000);
+
+/// When the platform confirms the bundle again.
+const BACK: Timestamp = Timestamp::from_millis(6_000);
+
+const RENEWED: Timestamp = Timestamp::from_millis(60_000);
+
+/// A node that is no steward and has heard that the one upstream is warm.
+fn follower() -> Engine {
+    let mut engine = fixtures::engine(0, 1, PolicyMode::Adaptive);
+    let view = FleetView {
+        published: 3,
+        steward_of: Default::default(),
+    };
+    for event in [
+        Event::FleetChanged(view),
+        Event::Freshness(LAPSE),
+        Event::Configure(fixtures::approved(&fixtures::bundle(1))),
+        Event::News(warm()),
+    ] {
+        engine.handle(Timestamp::ZERO, event, &mut Vec::new());
+    }
+    engine
+}
+
+fn warm() -> News {
+    News::Warm {
+        upstream: "u0".to_owned(),
+        started_at_ms: 5,
+        round: 0,
+    }
+}
+
+fn search(deadline: Duration) -> SearchRequest {
+    SearchRequest {
+        caller: CallerKey::default(),
+        request_id: Arc::from("r"),
+        token: Arc::from(fixtures::TOKEN),
+        tenant: Arc::from(fixtures::TENANT),
+        service: Arc::from("find"),
+        query: Arc::from("q"),
+        limit: 1,
+        deadline: Some(deadline),
+    }
+}
+
+fn sent(command: &Command) -> Option<(AttemptKey, UpstreamKey)> {
+    match command {
+        Command::Send {
+            attempt, upstream, ..
+        } => Some((*attempt, *upstream)),
+        _ => None,
+    }
+}
+
+/// Sub-requests that a query causes at this time.
+fn sends(engine: &mut Engine, now: Timestamp) -> usize {
+    let request = search(Duration::from_millis(500));
+    let mut commands = Vec::new();
+    engine.handle(now, Event::Search(request), &mut commands);
+    commands.iter().filter_map(sent).count()
+}
+
+fn says_able(commands: &[Command]) -> bool {
+    commands.iter().any(|c| matches!(c, Command::Able))
+}
+
+/// Guards against the overload of an upstream that went cold during a partition: the platform may confirm the bundle
+/// before the links are back.
+#[test]
+fn upstream_is_not_warm_after_a_lapse_until_a_peer_says_so() {
+    let mut engine = follower();
+    let before = sends(&mut engine, Timestamp::from_millis(100));
+
+    engine.handle(BACK, Event::Freshness(RENEWED), &mut Vec::new());
+    let unheard = sends(&mut engine, BACK);
+    engine.handle(BACK, Event::News(warm()), &mut Vec::new());
+    let heard = sends(&mut engine, BACK);
+
+    assert_eq!((before, unheard, heard), (1, 0, 1));
+}
+
+/// Guards against a loss of knowledge at each renewal of a confirmation that has not run out.
+#[test]
+fn renewal_in_time_keeps_what_is_known() {
+    let mut engine = follower();
+    let in_time = LAPSE - Duration::from_millis(1);
+
+    engine.handle(in_time, Event::Freshness(RENEWED), &mut Vec::new());
+
+    assert_eq!(sends(&mut engine, in_time), 1);
+}
+
+/// Guards against a node that counts as ready again before it knows warm upstreams.
+#[test]
+fn node_is_able_again_once_it_knows_warm_upstreams() {
+    let mut engine = follower();
+    let mut commands = Vec::new();
+
+    engine.handle(BACK, Event::Freshness(RENEWED), &mut commands);
+    let unable = commands.iter().any(|c| matches!(c, Command::Unable));
+    let able_at_once = says_able(&commands);
+    let later = BACK + Duration::from_millis(200);
+    engine.handle(later, Event::News(warm()), &mut commands);
+
+    assert!(unable && !able_at_once);
+    assert!(says_able(&commands));
+}
--- a/crates/node/src/control_task.rs
+++ b/crates/node/src/control_task.rs
@@ -388,6 +388,22 @@
         }
     }
 
+    /// Asks the linked peers for the states of upstreams; peers whose links come up later are asked then.
+    fn ask_for_states(&mut self) {
+        let peers: Vec<_> = self.fleet.peers().take(STATES_FROM as usize).collect();
+        self.asked_for_states = peers.len() as u32;
+        for peer in peers {
+            let upstream_states = true;
+            self.ask(
+                peer,
+                DocumentRequest {
+                    upstream_states,
+                    ..DocumentRequest::default()
+                },
+            );
+        }
+    }
+
     fn ask(&self, peer: PeerKey, request: DocumentRequest) {
         // A request that gets no answer is repeated, to another peer if there is one.
         self.peers.send(peer, Message::DocumentRequest(request));
@@ -420,6 +436,11 @@
             }
             EngineNotice::Forward(booking) => self.forward(booking),
             EngineNotice::Able => self.step(NodeEvent::Able),
+            EngineNotice::Unable => {
+                warn!(self.log, "news_missed"; "version" => self.agreement.version());
+                self.step(NodeEvent::Unable);
+                self.ask_for_states();
+            }
             EngineNotice::Drained => self.step(NodeEvent::Drained),
         }
     }
--- a/crates/node/src/engine_task.rs
+++ b/crates/node/src/engine_task.rs
@@ -103,6 +103,8 @@
     Forward(ForwardedBooking),
     /// Each service can be answered by warm upstreams.
     Able,
+    /// News of peers was missed, so that no upstream is known to be warm.
+    Unable,
     /// Nothing runs any more.
     Drained,
 }
@@ -329,6 +331,7 @@
             } => self.refuse(caller, &tenant, refusal),
             Command::Share(news) => self.notify(EngineNotice::Share(news)),
             Command::Able => self.notify(EngineNotice::Able),
+            Command::Unable => self.notify(EngineNotice::Unable),
             Command::Drained => self.notify(EngineNotice::Drained),
         }
     }
