Count an attempt without a reply as running at a cold upstream for 250 ms

The steward's first attempt ended at its deadline without a reply, and the steward sent the next one at once; the upstream had not noticed the closed connection yet. Change: an attempt that ends silently counts as running for 250 ms while its upstream is not warm. Ruled out: counting cancelled attempts as well, because their end is the upstream's own reply.

--- a/crates/core/src/upstream_member.rs
+++ b/crates/core/src/upstream_member.rs
@@ -10,6 +10,9 @@
 /// A new reply time has this fraction's weight in the smoothed one.
 const SMOOTHING: u32 = 8;
 
+/// Time that an upstream takes to notice that a caller has closed its connection.
+const CANCEL_LAG: Duration = Duration::from_millis(250);
+
 /// An upstream in the arena, with what is known of its health and load.
 #[derive(Debug)]
 pub(crate) struct Member {
@@ -19,6 +22,8 @@
     pub(crate) open: bool,
     /// Attempts sent whose end has not been reported.
     pub(crate) in_flight: u32,
+    /// Until when attempts that ended without a reply may still run there.
+    unconfirmed: Vec<Timestamp>,
     pub(crate) health: UpstreamHealth,
     pub(crate) limiter: Limiter,
     pub(crate) latency: Option<Duration>,
@@ -26,6 +31,41 @@
 }
 
 impl Member {
+    /// An upstream to which nothing was sent.
+    pub(crate) fn new(
+        spec: Upstream,
+        terms: RampTerms,
+        health: UpstreamHealth,
+        connections: u32,
+    ) -> Self {
+        Self {
+            limiter: Limiter::new(spec.slots, connections),
+            spec,
+            terms,
+            open: false,
+            in_flight: 0,
+            unconfirmed: Vec::new(),
+            health,
+            latency: None,
+            reported: None,
+        }
+    }
+
+    /// Attempts that run there, or may run there because nothing has confirmed their end.
+    pub(crate) fn may_run(&self, now: Timestamp) -> u32 {
+        let unconfirmed = self.unconfirmed.iter().filter(|until| **until > now);
+        self.in_flight + unconfirmed.count() as u32
+    }
+
+    /// Records the end of an attempt.
+    pub(crate) fn ended(&mut self, now: Timestamp, outcome: &Outcome) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+        if matches!(outcome, Outcome::Silent) {
+            self.unconfirmed.retain(|until| *until > now);
+            self.unconfirmed.push(now + CANCEL_LAG);
+        }
+    }
+
     /// Takes account of a sign and shares what follows from it.
     pub(crate) fn sign(
         &mut self,
--- a/crates/core/src/upstreams.rs
+++ b/crates/core/src/upstreams.rs
@@ -1,7 +1,6 @@
 //! Upstreams of the bundle in force and the choice among replicas.
 
 use crate::{
-    limiter::Limiter,
     prelude::*,
     replica_choice::{self, ReplicaLoad},
     stewardship::Stewardship,
@@ -118,16 +117,9 @@
     ) -> UpstreamKey {
         let connections = self.share(spec);
         let terms = ramp_terms(spec, bundle);
-        let key = self.arena.insert(Member {
-            spec: spec.clone(),
-            terms,
-            open: false,
-            in_flight: 0,
-            health: UpstreamHealth::new(&self.chart, &terms),
-            limiter: Limiter::new(spec.slots, connections),
-            latency: None,
-            reported: None,
-        });
+        let health = UpstreamHealth::new(&self.chart, &terms);
+        let member = Member::new(spec.clone(), terms, health, connections);
+        let key = self.arena.insert(member);
         self.by_name.insert(spec.name.clone(), key);
         commands.push(Command::OpenUpstream {
             upstream: key,
@@ -322,12 +314,13 @@
         if !warm && !self.stewardship.holds(now, &member.spec.name) {
             return Room::Closed;
         }
-        let limit = if warm {
-            member.limiter.limit()
+        let has_room = if warm {
+            member.in_flight < member.limiter.limit()
         } else {
-            member.health.allowance().min(self.share(&member.spec))
+            let limit = member.health.allowance().min(self.share(&member.spec));
+            member.may_run(now) < limit
         };
-        match (member.in_flight < limit, warm) {
+        match (has_room, warm) {
             (true, true) => Room::Warm,
             (true, false) => Room::Cold,
             (false, _) => Room::Full,
@@ -370,7 +363,7 @@
             return;
         };
         member.observe_load(now, sent, reply);
-        member.in_flight = member.in_flight.saturating_sub(1);
+        member.ended(now, &reply.outcome);
         let (terms, report) = (member.terms, reply.report.as_ref());
         let news = member
             .health
--- a/crates/core/tests/lapses.rs
+++ b/crates/core/tests/lapses.rs
@@ -1,4 +1,5 @@
-//! Guards against a node that overloads a cold upstream because it trusts what it believed before it was cut off.
+//! Guards against a node that overloads a cold upstream because it trusts what it believed before it was cut off, or
+//! because it takes an attempt without a reply as ended.
 
 mod fixtures;
 
@@ -9,6 +10,9 @@
 /// When the platform confirms the bundle again.
 const BACK: Timestamp = Timestamp::from_millis(6_000);
 
+/// When a steward of a fleet of several may begin.
+const HANDED_OVER: Timestamp = Timestamp::from_millis(4_000);
+
 const RENEWED: Timestamp = Timestamp::from_millis(60_000);
 
 /// A node that is no steward and has heard that the one upstream is warm.
@@ -37,6 +41,23 @@
     }
 }
 
+/// A node that is the steward of the one upstream, of which nothing is known.
+fn steward() -> Engine {
+    let mut engine = fixtures::engine(0, 1, PolicyMode::Adaptive);
+    let view = FleetView {
+        published: 2,
+        steward_of: std::iter::once("u0".to_owned()).collect(),
+    };
+    for event in [
+        Event::FleetChanged(view),
+        Event::Freshness(RENEWED),
+        Event::Configure(fixtures::approved(&fixtures::bundle(1))),
+    ] {
+        engine.handle(Timestamp::ZERO, event, &mut Vec::new());
+    }
+    engine
+}
+
 fn search(deadline: Duration) -> SearchRequest {
     SearchRequest {
         caller: CallerKey::default(),
@@ -112,3 +133,28 @@
     assert!(unable && !able_at_once);
     assert!(says_able(&commands));
 }
+
+/// Guards against a second request at a cold upstream that still runs one whose caller has given up: the upstream
+/// notices the closed connection only after a while.
+#[test]
+fn cold_upstream_gets_nothing_while_a_silent_attempt_may_still_run() {
+    let mut engine = steward();
+    let mut commands = Vec::new();
+    let start = HANDED_OVER;
+    let request = search(Duration::from_millis(100));
+    engine.handle(start, Event::Search(request), &mut commands);
+    let (attempt, upstream) = commands.iter().find_map(sent).expect("one attempt");
+
+    let timed_out = start + Duration::from_millis(100);
+    let silent = Reply {
+        attempt,
+        upstream,
+        outcome: Outcome::Silent,
+        report: None,
+    };
+    engine.handle(timed_out, Event::Reply(silent), &mut Vec::new());
+    let at_once = sends(&mut engine, timed_out);
+    let later = sends(&mut engine, timed_out + Duration::from_millis(600));
+
+    assert_eq!((at_once, later), (0, 1));
+}
