--- a/crates/core/tests/lapses.rs
+++ b/crates/core/tests/lapses.rs
@@ -20,7 +20,7 @@
     let mut engine = fixtures::engine(0, 1, PolicyMode::Adaptive);
     let view = FleetView {
         published: 3,
-        steward_of: Default::default(),
+        steward_of: Vec::default(),
     };
     for event in [
         Event::FleetChanged(view),
