Add a soak of real processes with faults from outside

Change: medlarctl soak starts nodes, a store and upstreams as processes, injects a seeded schedule of faults by signals, loopback proxies and orders, and checks twelve promises from what callers and upstreams see. A guard kills the nodes if the soak is killed. Ruled out: the in-process demo with proxies, because it shares one clock, runtime and memory with the nodes; PR_SET_PDEATHSIG for the guard, because it needs unsafe code.

--- a/crates/medlarctl/src/ctl_error.rs
+++ b/crates/medlarctl/src/ctl_error.rs
@@ -95,6 +95,24 @@
         /// Length found.
         bytes: usize,
     },
+    /// A soak that could not run.
+    #[snafu(display(
+        "the soak can't run: {source}; build both programs, and end the processes that use its addresses"
+    ))]
+    Soak {
+        /// What the system said.
+        source: std::io::Error,
+    },
+    /// A soak with findings, which have been printed.
+    #[snafu(display(
+        "{count} findings with seed {seed}; read the logs that the report names, and run the seed again"
+    ))]
+    Found {
+        /// Findings.
+        count: usize,
+        /// Seed.
+        seed: u64,
+    },
     /// The system has no random numbers.
     #[snafu(display("the system has no random numbers; check the VM"))]
     Random,
--- a/crates/medlarctl/src/fake_commands.rs
+++ b/crates/medlarctl/src/fake_commands.rs
@@ -45,7 +45,7 @@
     })
 }
 
-fn address(text: &str) -> Result<SocketAddr, CtlError> {
+pub(crate) fn address(text: &str) -> Result<SocketAddr, CtlError> {
     text.parse().ok().context(UnknownValueSnafu {
         name: "--address",
         value: text,
--- a/crates/medlarctl/src/flags.rs
+++ b/crates/medlarctl/src/flags.rs
@@ -44,14 +44,47 @@
             /// Files with log lines; standard input without any
             repeated file: PathBuf
         }
-        /// Run random faults for each seed in turn; ends with 1 at the first violated invariant.
+        /// Run nodes on stand-ins of the users' platform, each a process of its own, and inject random faults from
+        /// outside, for each seed in turn; ends with 1 at the first seed with a broken promise.
         cmd soak {
-            /// Seeds, FIRST..LAST with LAST included (default 1..5)
+            /// Seed, or seeds FIRST..LAST with LAST included (default 1)
             optional --seeds seeds: String
-            /// Seconds under load for each seed (default 20)
+            /// Seconds under load for each seed, the quiet end of 15 s included, 20 or more (default 45)
             optional --seconds seconds: u64
-            /// tunelix or alliance (default tunelix)
-            optional --deployment deployment: String
+            /// Nodes, 1 to 200 (default 3)
+            optional --nodes count: usize
+            /// Shards in each of the two sets (default 3)
+            optional --shards count: usize
+            /// Upstreams of each service (default 2)
+            optional --replicas count: usize
+            /// Callers (default 12)
+            optional --callers count: usize
+            /// Directory for settings and logs (default: the system's for temporary files)
+            optional --logs directory: PathBuf
+            /// The node's program (default: medlarpost beside this program)
+            optional --program file: PathBuf
+            /// Print one JSON object for each seed
+            optional --json
+        }
+        /// Run a stand-in of the users' platform's store, which takes orders on standard input and ends with it.
+        cmd stand-in-store {
+            /// Address to listen on, IP:PORT
+            required --address address: String
+        }
+        /// Run a stand-in of an upstream on the users' platform, which prints what it runs, takes orders on standard
+        /// input and ends with it.
+        cmd stand-in-upstream {
+            /// Address to listen on, IP:PORT
+            required --address address: String
+            /// Name of its start
+            required --instance instance: String
+            /// Requests run at a time (default 3)
+            optional --slots slots: u32
+            /// Time that a request takes, in milliseconds (default 8)
+            optional --work-ms ms: u64
+        }
+        /// Kill the nodes of a soak that ended without doing so; started by the soak.
+        cmd soak-guard {
         }
         /// Run a fake platform that serves the files of a directory and notices their changes: envelope.toml, the
         /// bundle's parts as files in parts/, and vms.json.
--- a/crates/medlarctl/src/lib.rs
+++ b/crates/medlarctl/src/lib.rs
@@ -1,10 +1,13 @@
-//! Program for operators and testers: bundles, keys, demonstration and fakes.
+//! Program for operators and testers: bundles, keys, demonstration, soak and fakes.
 
 pub mod answer_check;
 pub mod asked;
 pub mod checks;
 pub mod observation;
 pub mod run_record;
+pub mod soak_checks;
+pub mod soak_observation;
+pub mod soak_world;
 
 mod balancer;
 mod booking_load;
@@ -28,6 +31,7 @@
 mod load_command;
 mod load_options;
 mod load_report;
+pub mod loopback_proxy;
 mod measure_control;
 mod mesh;
 mod node_thread;
@@ -35,6 +39,16 @@
 mod schedule;
 mod search_load;
 mod secret;
+mod soak_balancer;
+mod soak_caller;
+mod soak_command;
+pub mod soak_fault;
+mod soak_fleet;
+mod soak_options;
+mod soak_process;
+mod soak_report;
+mod soak_run;
+pub mod soak_schedule;
 mod status_command;
 mod test_bed;
 
--- a/crates/medlarctl/src/run.rs
+++ b/crates/medlarctl/src/run.rs
@@ -7,7 +7,7 @@
     flags::{MeasureControl, Medlarctl, MedlarctlCmd},
     keys_command, load_command,
     measure_control::{self, ControlOptions},
-    status_command,
+    soak_command, status_command,
 };
 use std::{process::ExitCode, time::Duration};
 
@@ -18,7 +18,13 @@
     let result = match flags.subcommand {
         MedlarctlCmd::Demo(demo) => demo_command::run(&demo),
         MedlarctlCmd::Explain(explain) => explain_command::run(&explain),
-        MedlarctlCmd::Soak(soak) => demo_command::run_soak(&soak),
+        MedlarctlCmd::Soak(soak) => soak_command::run(&soak),
+        MedlarctlCmd::StandInStore(flags) => soak_command::run_store(&flags),
+        MedlarctlCmd::StandInUpstream(flags) => soak_command::run_upstream(&flags),
+        MedlarctlCmd::SoakGuard(_) => {
+            soak_command::run_guard();
+            Ok(())
+        }
         MedlarctlCmd::FakePlatform(flags) => fake_commands::run_platform(&flags),
         MedlarctlCmd::FakeUpstream(flags) => fake_commands::run_upstream(&flags),
         MedlarctlCmd::MeasureControl(flags) => run_measure_control(&flags),
