Bar forwarded requests that crash upstreams, on all nodes

Change: CrashWatch blames a request for an upstream's end if its connection broke while it ran and the process then ended within 5 s. After two upstreams lost one after the other the request is refused as not run for a minute, and one is let through afterwards. Beats tell the other nodes, with a round at once. Ruled out: counting broken connections alone (resets and lost answers break them too); counting upstreams that are lost at the same time one by one (a failed zone would bar popular requests); the quarantine of the engine, whose canary costs a round for each unknown request. Before: not barred at all. After: two upstreams at the node that finds it; 39 of 39 other nodes hear of it within five rounds (test). No digest is worked out while nothing is suspected.

--- a/crates/core/src/forward_command.rs
+++ b/crates/core/src/forward_command.rs
@@ -44,6 +44,8 @@
         /// What it gets.
         answer: ForwardAnswer,
     },
+    /// Tell the other nodes that this request crashes upstreams.
+    Bar(Digest),
     /// A decision to record.
     Note(ForwardNote),
 }
@@ -73,6 +75,20 @@
         /// Rank of the route.
         rank: u32,
     },
+    /// Requests with this digest crash upstreams and are not sent for a while.
+    Barred {
+        /// Digest of the request.
+        digest: Digest,
+        /// Whether another node has found it.
+        told: bool,
+    },
+    /// A request was refused because it crashes upstreams.
+    RefusedBarred {
+        /// Id of the caller's attempt.
+        request: Arc<str>,
+        /// Its digest.
+        digest: Digest,
+    },
     /// A shard, or the one service, was given up.
     GaveUp {
         /// Id of the caller's attempt.
--- a/crates/core/src/forward_event.rs
+++ b/crates/core/src/forward_event.rs
@@ -16,6 +16,13 @@
     ZonesOut(BTreeSet<Arc<str>>),
     /// Nodes that share the limits of upstreams, this one included.
     FleetSize(u32),
+    /// Another node has barred a request because it crashes upstreams.
+    Barred {
+        /// Digest of the request.
+        digest: Digest,
+        /// Time since it was barred.
+        age: Duration,
+    },
     /// A caller asks.
     Request {
         /// Who waits for the answer.
--- a/crates/core/src/forward_replies.rs
+++ b/crates/core/src/forward_replies.rs
@@ -4,6 +4,7 @@
     forward_chart::{FlowAction, FlowEvent, FlowGuard, FlowState},
     forward_flow::{Flow, Progress},
     forward_sends::SendCause,
+    forwarder::ForwardAttempt,
     prelude::*,
 };
 
@@ -32,8 +33,12 @@
                     self.replicas[attempt.upstream].step(&self.replica_chart, now, event, warm_up);
                 commands.extend(note.map(ForwardCommand::Note));
             }
+            if end.outcome == ForwardOutcome::NotSent {
+                self.process_ended(now, attempt.upstream, commands);
+            }
             self.end_if_idle(attempt.upstream, commands);
         }
+        self.watch_crashes(now, &attempt, &end.outcome);
         let Some(flow) = self.flows.get_mut(attempt.flow) else {
             return;
         };
@@ -56,6 +61,30 @@
         self.settle(now, attempt.flow, commands);
     }
 
+    /// Takes account of what the end of an attempt shows about its request.
+    fn watch_crashes(
+        &mut self,
+        now: Timestamp,
+        attempt: &ForwardAttempt,
+        outcome: &ForwardOutcome,
+    ) {
+        let broken = *outcome == ForwardOutcome::Broken;
+        let served = matches!(outcome, ForwardOutcome::Served(_));
+        if !broken && (!served || self.crashes.is_calm()) {
+            return;
+        }
+        let Some(flow) = self.flows.get(attempt.flow) else {
+            return;
+        };
+        let digest = flow.request.digest();
+        if broken {
+            self.crashes
+                .broke(now, digest, attempt.upstream, attempt.sent);
+        } else {
+            self.crashes.succeeded(digest, attempt.sent);
+        }
+    }
+
     fn served(
         &mut self,
         key: FlowKey,
--- a/crates/core/src/forward_request.rs
+++ b/crates/core/src/forward_request.rs
@@ -23,6 +23,15 @@
 }
 
 impl ForwardRequest {
+    /// Digest of what an upstream runs, the same for each repetition by a caller.
+    pub fn digest(&self) -> Digest {
+        let parts = [&self.method, &self.host, &self.target].map(String::as_bytes);
+        let mut bytes = parts.join(&0);
+        bytes.push(0);
+        bytes.extend_from_slice(&self.body);
+        Digest::of(&bytes)
+    }
+
     /// Path without the query string.
     pub fn path(&self) -> &str {
         self.target.split('?').next().unwrap_or_default()
--- a/crates/core/src/forward_sends.rs
+++ b/crates/core/src/forward_sends.rs
@@ -12,6 +12,9 @@
 /// Share of a route's objective after which a refused caller should come back.
 const RETRY_AFTER_SHARE: f64 = 0.25;
 
+/// Wait that a caller is told whose request crashes upstreams.
+const BARRED_WAIT: Duration = Duration::from_mins(1);
+
 /// Wait that a caller is told when the node has no configuration yet, or no upstream of the service.
 const NOT_READY_WAIT: Duration = Duration::from_secs(1);
 
@@ -74,6 +77,14 @@
             return commands.push(refuse(ForwardRefusal::NoRoute));
         };
         let route = table.route(index);
+        if let Some(digest) = self.barred(now, &request) {
+            commands.push(ForwardCommand::Note(ForwardNote::RefusedBarred {
+                request: Arc::clone(&request.id),
+                digest,
+            }));
+            let retry_after = BARRED_WAIT;
+            return commands.push(refuse(ForwardRefusal::Unavailable { retry_after }));
+        }
         let shards = self.shards(route);
         if !self.fits(now, route, &shards) {
             commands.push(ForwardCommand::Note(ForwardNote::Overloaded {
@@ -126,6 +137,15 @@
         self.settle(now, flow, commands);
     }
 
+    /// Digest of a request that must not be sent because it crashes upstreams.
+    fn barred(&mut self, now: Timestamp, request: &ForwardRequest) -> Option<Digest> {
+        if self.crashes.is_calm() {
+            return None;
+        }
+        let digest = request.digest();
+        self.crashes.bars(now, digest).then_some(digest)
+    }
+
     /// Whether enough shards can answer within the objective as far as the queues of their upstreams show. Shards without
     /// any upstream to judge by count as ones that can.
     fn fits(&self, now: Timestamp, route: &Route, shards: &[ShardTry]) -> bool {
--- a/crates/core/src/forwarder.rs
+++ b/crates/core/src/forwarder.rs
@@ -1,6 +1,7 @@
 //! Decisions about forwarded requests: replicas, hedges, retries and answers.
 
 use crate::{
+    crash_watch::CrashWatch,
     extra_load::{ExtraLoad, ExtraTerms},
     forward_chart::{FlowEvent, FlowMachine},
     forward_flow::Flow,
@@ -68,6 +69,7 @@
     pub(crate) attempts: SlotMap<AttemptKey, ForwardAttempt>,
     pub(crate) timers: Timers<FlowKey>,
     pub(crate) zones_out: BTreeSet<Arc<str>>,
+    pub(crate) crashes: CrashWatch,
     pub(crate) fleet: u32,
     pub(crate) times: HashMap<Arc<str>, ReplyTimes>,
     /// Longest time that callers of a route wait, which shows how long a repeated request has waited.
@@ -120,6 +122,7 @@
             attempts: SlotMap::with_key(),
             timers: Timers::default(),
             zones_out: BTreeSet::new(),
+            crashes: CrashWatch::default(),
             times: HashMap::new(),
             longest_wait: HashMap::new(),
             split_credit: HashMap::new(),
@@ -142,6 +145,14 @@
             ForwardEvent::Deregistered(instance) => self.deregister(now, &instance, commands),
             ForwardEvent::ZonesOut(zones) => self.zones_out = zones,
             ForwardEvent::FleetSize(size) => self.fleet = size.max(1),
+            ForwardEvent::Barred { digest, age } => {
+                if self.crashes.told(now, digest, age) {
+                    commands.push(ForwardCommand::Note(ForwardNote::Barred {
+                        digest,
+                        told: true,
+                    }));
+                }
+            }
             ForwardEvent::Request { caller, request } => self.admit(now, caller, request, commands),
             ForwardEvent::CallerGone(caller) => {
                 if let Some(&flow) = self.callers.get(&caller) {
@@ -236,6 +247,9 @@
                 if let Some(event) = replica.update(now, entry) {
                     let note = replica.step(&self.replica_chart, now, event, warm_up);
                     commands.extend(note.map(ForwardCommand::Note));
+                    if event == ReplicaEvent::Restarted {
+                        self.process_ended(now, key, commands);
+                    }
                 }
                 return;
             }
@@ -269,8 +283,28 @@
         }
     }
 
+    /// Blames the requests that ran on an upstream whose process has ended, and tells which are barred.
+    pub(crate) fn process_ended(
+        &mut self,
+        now: Timestamp,
+        key: UpstreamKey,
+        commands: &mut Vec<ForwardCommand>,
+    ) {
+        if self.crashes.is_calm() {
+            return;
+        }
+        for digest in self.crashes.ended(now, key) {
+            commands.push(ForwardCommand::Note(ForwardNote::Barred {
+                digest,
+                told: false,
+            }));
+            commands.push(ForwardCommand::Bar(digest));
+        }
+    }
+
     /// Gives a replica no new work and ends it once nothing runs on it.
     fn retire(&mut self, now: Timestamp, key: UpstreamKey, commands: &mut Vec<ForwardCommand>) {
+        self.process_ended(now, key, commands);
         let replica = &mut self.replicas[key];
         replica.registered = false;
         let note = replica.step(
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -64,6 +64,7 @@
 mod booking;
 mod bookings;
 mod coverage;
+mod crash_watch;
 mod forward_flow;
 mod forward_replies;
 mod forward_sends;
--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -6,6 +6,12 @@
 /// Members that one beat names at most.
 const HEARD_IN_BEAT: usize = 64;
 
+/// Requests that crash upstreams which one beat names at most, the latest first.
+pub const BARRED_IN_BEAT: usize = 8;
+
+/// Time for which a request that crashes upstreams is told to others.
+const BARRED_TOLD_FOR: Duration = Duration::from_secs(30);
+
 /// Members that one round of beats goes to at most, so that a node's traffic does not grow with the fleet: while the fleet
 /// is still becoming known, and afterwards.
 const FAN_OUT: (usize, usize) = (4, 2);
@@ -44,6 +50,17 @@
     pub answer_wanted: bool,
     /// Nodes that the sender knows, itself included.
     pub fleet: u32,
+    /// Requests that were barred lately because they crash upstreams.
+    pub barred: Vec<BarredRequest>,
+}
+
+/// A request that crashes upstreams.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct BarredRequest {
+    /// Its digest.
+    pub digest: Digest,
+    /// Time since a node found it.
+    pub age: Duration,
 }
 
 /// A node and how long ago there was a sign of it.
@@ -63,6 +80,8 @@
     members: BTreeMap<SocketAddr, Timestamp>,
     /// Largest fleet that another node has told lately, and when.
     told: Option<(u32, Timestamp)>,
+    /// Requests that were barred lately, and when.
+    barred: BTreeMap<Digest, Timestamp>,
     /// When a member was last added.
     grown: Timestamp,
     random: fastrand::Rng,
@@ -76,6 +95,7 @@
             settings,
             members: BTreeMap::new(),
             told: None,
+            barred: BTreeMap::new(),
             grown: Timestamp::ZERO,
             random,
         }
@@ -102,7 +122,26 @@
         self.members.keys().copied().collect()
     }
 
+    /// Lets the others be told of a request that crashes upstreams.
+    pub fn bar(&mut self, now: Timestamp, digest: Digest) {
+        self.barred.insert(digest, now);
+    }
+
+    /// Takes over the barred requests of a beat. Returns those that are news.
+    pub fn barred(&mut self, now: Timestamp, beat: &MemberBeat) -> Vec<BarredRequest> {
+        let mut news = Vec::new();
+        for barred in &beat.barred {
+            let lately = barred.age < BARRED_TOLD_FOR;
+            if lately && !self.barred.contains_key(&barred.digest) {
+                self.barred.insert(barred.digest, now - barred.age);
+                news.push(*barred);
+            }
+        }
+        news
+    }
+
     fn forget(&mut self, now: Timestamp) {
+        self.barred.retain(|_, at| now.since(*at) < BARRED_TOLD_FOR);
         self.members.retain(|_, heard| now.since(*heard) < MEMORY);
     }
 
@@ -170,7 +209,15 @@
         // A choice by age would tell all the same few, and a large fleet would never be known.
         self.random.shuffle(&mut heard);
         heard.truncate(HEARD_IN_BEAT);
+        let barred = self.barred.iter().map(|(digest, at)| BarredRequest {
+            digest: *digest,
+            age: now.since(*at),
+        });
+        let mut barred: Vec<_> = barred.collect();
+        barred.sort_by_key(|barred| barred.age);
+        barred.truncate(BARRED_IN_BEAT);
         MemberBeat {
+            barred,
             address: self.settings.address,
             heard,
             answer_wanted,
--- a/crates/core/tests/forwarding/forward_bench.rs
+++ b/crates/core/tests/forwarding/forward_bench.rs
@@ -270,6 +270,15 @@
         answers.remove(0).1
     }
 
+    /// Requests that the other nodes are to be told of, since the start.
+    pub fn bars(&self) -> Vec<Digest> {
+        let bars = self.commands.iter().filter_map(|command| match command {
+            ForwardCommand::Bar(digest) => Some(*digest),
+            _ => None,
+        });
+        bars.collect()
+    }
+
     /// Shards that were cut off since the start: who was asked and for how long.
     pub fn cut_off(&self) -> Vec<(String, Duration)> {
         let noted = self.commands.iter().filter_map(|command| match command {
--- a/crates/core/tests/membership.rs
+++ b/crates/core/tests/membership.rs
@@ -112,3 +112,28 @@
     assert_eq!(first, [address(1)]);
     assert_eq!(nodes[1].helpers(), [address(0)]);
 }
+
+/// Guards against nodes that each let a request crash upstreams which another has already barred.
+#[test]
+fn all_nodes_are_told_of_a_barred_request_once() {
+    let mut nodes: Vec<_> = (0..40).map(|number| node(number, &[0])).collect();
+    let digest = Digest::of(b"request");
+    for second in 0..4 {
+        round(&mut nodes, Timestamp::from_millis(second * 1_000), |_| true);
+    }
+    nodes[7].bar(Timestamp::from_millis(4_000), digest);
+
+    let mut told = vec![0; nodes.len()];
+    for second in 4..9 {
+        let now = Timestamp::from_millis(second * 1_000);
+        for from in 0..nodes.len() {
+            let (targets, beat) = nodes[from].round(now);
+            for to in (0..nodes.len()).filter(|to| targets.contains(&address(*to))) {
+                told[to] += nodes[to].barred(now, &beat).len();
+            }
+        }
+    }
+
+    told.remove(7);
+    assert_eq!(told, [1; 39]);
+}
--- a/crates/node/src/forward_log.rs
+++ b/crates/node/src/forward_log.rs
@@ -29,6 +29,12 @@
         } => {
             info!(log, "refused_overloaded"; "request" => &**request, "route" => &**route, "rank" => *rank);
         }
+        ForwardNote::Barred { digest, told } => {
+            warn!(log, "request_barred"; "digest" => %digest, "told" => *told);
+        }
+        ForwardNote::RefusedBarred { request, digest } => {
+            info!(log, "refused_barred"; "request" => &**request, "digest" => %digest);
+        }
         ForwardNote::GaveUp {
             request,
             service,
--- a/crates/node/src/forward_metrics.rs
+++ b/crates/node/src/forward_metrics.rs
@@ -76,6 +76,9 @@
             ForwardNote::Overloaded { .. } => {
                 self.given_up.with_label_values(&["overloaded"]).inc();
             }
+            ForwardNote::RefusedBarred { .. } => {
+                self.given_up.with_label_values(&["barred"]).inc();
+            }
             ForwardNote::GaveUp { cause, .. } => self.given_up.with_label_values(&[*cause]).inc(),
             ForwardNote::Answered {
                 outcome, elapsed, ..
@@ -84,7 +87,7 @@
                 .with_label_values(&[*outcome])
                 .observe(elapsed.as_secs_f64()),
             ForwardNote::Upstream { to, .. } => self.beliefs.with_label_values(&[to.name()]).inc(),
-            ForwardNote::InForce { .. } => {}
+            ForwardNote::InForce { .. } | ForwardNote::Barred { .. } => {}
         }
     }
 }
--- a/crates/node/src/forward_node.rs
+++ b/crates/node/src/forward_node.rs
@@ -6,7 +6,7 @@
     forward_metrics::ForwardMetrics,
     forward_task::{self, ForwardMessage, ForwardParts, ForwardSender, ForwardStatus},
     http_server::{self, ServerPhase},
-    member_task::{self, MemberReaders},
+    member_task::{self, MemberLinks},
     prelude::*,
     registry::Registry,
     registry_watcher::{RegistryWatcher, WatchTerms},
@@ -137,6 +137,7 @@
         let metrics =
             ForwardMetrics::register(&metrics_registry).context(node_error::MetricsSnafu)?;
         let (forward, forward_rx) = mpsc::unbounded_channel();
+        let (barred, barred_rx) = mpsc::unbounded_channel();
         let (limits, limits_rx) = watch::channel(CallerLimits::default());
         let (phase, phase_rx) = watch::channel(ForwardPhase::Open);
         let (ready, ready_rx) = watch::channel(Readiness::default());
@@ -152,6 +153,7 @@
             log: log.clone(),
             limits,
             ready: ready.clone(),
+            barred,
         };
         actix_rt::spawn(forward_task::run(parts, forward.clone(), forward_rx));
         let membership = Membership::new(settings.membership.clone());
@@ -166,11 +168,12 @@
         let snapshots = snapshot_exchange::serve(bound.snapshots, watcher.items(), log.clone());
         actix_rt::spawn(snapshots);
         actix_rt::spawn(watcher.run());
-        let readers = MemberReaders {
+        let links = MemberLinks {
+            barred: barred_rx,
             forward: forward.clone(),
             helpers,
         };
-        let members = member_task::run(bound.members, membership, clock, readers, log.clone());
+        let members = member_task::run(bound.members, membership, clock, links, log.clone());
         actix_rt::spawn(members);
         let workers = Workers::current();
         let readiness = ReadinessPage { ready: ready_rx };
--- a/crates/node/src/forward_task.rs
+++ b/crates/node/src/forward_task.rs
@@ -77,6 +77,8 @@
     pub limits: watch::Sender<CallerLimits>,
     /// Whether requests can be answered.
     pub ready: watch::Sender<Readiness>,
+    /// Requests that the other nodes are to be told of, because they crash upstreams.
+    pub barred: mpsc::UnboundedSender<Digest>,
 }
 
 struct ForwardTask<D> {
@@ -232,6 +234,10 @@
                     let _left = reply.send(CallerMessage::Answer(answer));
                 }
             }
+            ForwardCommand::Bar(digest) => {
+                // The receiver ends only with the process.
+                let _ended = self.parts.barred.send(digest);
+            }
             ForwardCommand::Note(note) => {
                 self.parts.metrics.noted(&note);
                 crate::forward_log::write(&self.parts.log, &note);
--- a/crates/node/src/member_task.rs
+++ b/crates/node/src/member_task.rs
@@ -15,20 +15,29 @@
 /// Time between two rounds while no other node was heard.
 const LONELY_INTERVAL: Duration = Duration::from_millis(200);
 
-/// What the task tells.
-pub(crate) struct MemberReaders {
+/// What the task is told, and whom it tells.
+pub(crate) struct MemberLinks {
+    /// Requests that this node has found to crash upstreams.
+    pub(crate) barred: mpsc::UnboundedReceiver<Digest>,
     /// How many nodes share the limits.
     pub(crate) forward: ForwardSender,
     /// Nodes to ask for what they know.
     pub(crate) helpers: watch::Sender<Vec<SocketAddr>>,
 }
 
+impl MemberLinks {
+    fn tell(&self, event: ForwardEvent) {
+        // The receiver ends only with the process.
+        let _ended = self.forward.send(ForwardMessage::Event(event));
+    }
+}
+
 /// Tells its readers of the other nodes, for the life of the process.
 pub(crate) async fn run(
     socket: UdpSocket,
     mut membership: Membership,
     clock: Clock,
-    readers: MemberReaders,
+    mut links: MemberLinks,
     log: Logger,
 ) {
     let mut framed = UdpFramed::new(socket, BeatCodec);
@@ -38,6 +47,9 @@
         tokio::select! {
             received = framed.next() => match received {
                 Some(Ok((Some(beat), from))) => {
+                    for BarredRequest { digest, age } in membership.barred(clock.now(), &beat) {
+                        links.tell(ForwardEvent::Barred { digest, age });
+                    }
                     if let Some(answer) = membership.heard(clock.now(), &beat) {
                         send(&mut framed, answer, from, &log).await;
                     }
@@ -47,6 +59,10 @@
                 Some(Err(fault)) => debug!(log, "datagram_failed"; "fault" => %fault),
                 None => return,
             },
+            Some(digest) = links.barred.recv() => {
+                membership.bar(clock.now(), digest);
+                next_round = tokio::time::Instant::now();
+            }
             () = tokio::time::sleep_until(next_round) => {
                 let (targets, beat) = membership.round(clock.now());
                 let interval = if beat.answer_wanted { LONELY_INTERVAL } else { INTERVAL };
@@ -57,7 +73,7 @@
             }
         }
         let helpers = membership.helpers();
-        readers.helpers.send_if_modified(|known| {
+        links.helpers.send_if_modified(|known| {
             let changed = *known != helpers;
             *known = helpers;
             changed
@@ -66,10 +82,7 @@
         if heard != size {
             info!(log, "fleet_size_changed"; "from" => size, "to" => heard);
             size = heard;
-            // The receiver ends only with the process.
-            let _ended = readers
-                .forward
-                .send(ForwardMessage::Event(ForwardEvent::FleetSize(size)));
+            links.tell(ForwardEvent::FleetSize(size));
         }
     }
 }
--- a/crates/wire/src/beat_codec.rs
+++ b/crates/wire/src/beat_codec.rs
@@ -1,6 +1,7 @@
 //! Datagrams by which nodes find each other.
 
 use crate::{generated_member as gen_member, prelude::*};
+use medlarpost_core::membership::BARRED_IN_BEAT;
 use prost::Message as _;
 use tokio_util::codec::{Decoder, Encoder};
 
@@ -25,12 +26,17 @@
             address: heard.address.to_string(),
             age_ms: u32::try_from(heard.age.as_millis()).unwrap_or(u32::MAX),
         });
+        let barred = item.barred.iter().map(|barred| gen_member::Barred {
+            digest: bytes::Bytes::copy_from_slice(&barred.digest.0),
+            age_ms: u32::try_from(barred.age.as_millis()).unwrap_or(u32::MAX),
+        });
         let message = gen_member::Beat {
             major: MAJOR,
             address: item.address.to_string(),
             heard: heard.collect(),
             answer_wanted: item.answer_wanted,
             fleet: item.fleet,
+            barred: barred.collect(),
         };
         dst.reserve(message.encoded_len());
         message.encode(dst)?;
@@ -66,10 +72,17 @@
             age: Duration::from_millis(heard.age_ms.into()),
         })
     });
+    let barred = message.barred.iter().take(BARRED_IN_BEAT).map(|barred| {
+        Some(BarredRequest {
+            digest: Digest(barred.digest.as_ref().try_into().ok()?),
+            age: Duration::from_millis(barred.age_ms.into()),
+        })
+    });
     Some(MemberBeat {
         address: message.address.parse().ok()?,
         heard: heard.collect::<Option<_>>()?,
         answer_wanted: message.answer_wanted,
         fleet: message.fleet.min(MAX_FLEET),
+        barred: barred.collect::<Option<_>>()?,
     })
 }
--- a/crates/wire/src/gen/medlarpost.member.rs
+++ b/crates/wire/src/gen/medlarpost.member.rs
@@ -17,6 +17,19 @@
     /// Nodes that the sender knows, itself included.
     #[prost(uint32, tag = "5")]
     pub fleet: u32,
+    /// Requests that crash upstreams; at most 8.
+    #[prost(message, repeated, tag = "6")]
+    pub barred: ::prost::alloc::vec::Vec<Barred>,
+}
+/// A request that is not sent for a while.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Barred {
+    /// SHA-256 digest of the request.
+    #[prost(bytes = "bytes", tag = "1")]
+    pub digest: ::prost::bytes::Bytes,
+    /// Milliseconds since it was barred.
+    #[prost(uint32, tag = "2")]
+    pub age_ms: u32,
 }
 /// A node and how long ago it was heard.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/crates/wire/tests/beats.rs
+++ b/crates/wire/tests/beats.rs
@@ -16,6 +16,10 @@
         }],
         answer_wanted: true,
         fleet: 7,
+        barred: vec![BarredRequest {
+            digest: Digest::of(b"request"),
+            age: Duration::from_millis(900),
+        }],
     };
     let mut datagram = BytesMut::new();
 
