Say why nothing more was sent for a shard that is given up

Change: a send that is not made says why (once, time, attempts, no_upstream, budget), and shard_given_up carries it as no_more. Ruled out: a line for each send that is not made: hedges that the budget stops are many, and the request still runs.

--- a/crates/core/src/forward_command.rs
+++ b/crates/core/src/forward_command.rs
@@ -97,8 +97,10 @@
         service: Arc<str>,
         /// Instance that was asked last, unless nothing was sent or it has ended.
         instance: Option<Arc<str>>,
-        /// Last outcome, or why nothing was sent.
+        /// Last outcome, if anything was sent.
         cause: &'static str,
+        /// Why nothing more was sent.
+        denial: SendDenial,
         /// Attempts that were sent.
         sent: u32,
     },
--- a/crates/core/src/forward_replies.rs
+++ b/crates/core/src/forward_replies.rs
@@ -143,9 +143,15 @@
         } else {
             SendCause::Retry
         };
-        let sent = may_repeat && self.send(now, key, shard, cause, commands);
-        if !sent && self.flows[key].shards[shard].running.is_empty() {
-            self.give_up_shard(key, shard, commands);
+        let sent = if may_repeat {
+            self.send(now, key, shard, cause, commands)
+        } else {
+            Err(SendDenial::Once)
+        };
+        if let Err(denial) = sent
+            && self.flows[key].shards[shard].running.is_empty()
+        {
+            self.give_up_shard(key, shard, denial, commands);
         }
     }
 
@@ -153,6 +159,7 @@
         &mut self,
         key: FlowKey,
         shard: usize,
+        denial: SendDenial,
         commands: &mut Vec<ForwardCommand>,
     ) {
         let flow = &mut self.flows[key];
@@ -165,6 +172,7 @@
             service: Arc::clone(&self.services[shard.service].name),
             instance: last.map(|replica| Arc::clone(&replica.entry.instance)),
             cause: shard.last,
+            denial,
             sent: shard.tried.len() as u32,
         }));
     }
--- a/crates/core/src/forward_sends.rs
+++ b/crates/core/src/forward_sends.rs
@@ -184,12 +184,12 @@
         let terms = self.extra_terms();
         let service = self.flows[flow].shards[shard].service;
         self.services[service].extra.count_primary(now, &terms);
-        if !self.send(now, flow, shard, SendCause::Primary, commands) {
-            return self.give_up_shard(flow, shard, commands);
+        if let Err(denial) = self.send(now, flow, shard, SendCause::Primary, commands) {
+            return self.give_up_shard(flow, shard, denial, commands);
         }
         // A suspect is tried with a second copy, so that the caller does not wait for it.
         if self.flows[flow].route().repeatable {
-            self.send(now, flow, shard, SendCause::Trial, commands);
+            let _untried = self.send(now, flow, shard, SendCause::Trial, commands);
         }
     }
 
@@ -224,7 +224,7 @@
         Arc::clone(&parts[most].0)
     }
 
-    /// Sends one attempt for a shard to the best replica that takes it. Returns whether one was sent.
+    /// Sends one attempt for a shard to the best replica that takes it, or says why not.
     pub(crate) fn send(
         &mut self,
         now: Timestamp,
@@ -232,10 +232,10 @@
         shard: usize,
         cause: SendCause,
         commands: &mut Vec<ForwardCommand>,
-    ) -> bool {
+    ) -> Result<(), SendDenial> {
         let flow = &self.flows[flow_key];
         if flow.deadline.since(now) < LEAST_TIME {
-            return false;
+            return Err(SendDenial::Time);
         }
         let (route, table) = (flow.route, Arc::clone(&flow.table));
         let route = table.route(route);
@@ -245,9 +245,7 @@
             .times
             .entry(Arc::clone(&route.name))
             .or_insert_with(|| ReplyTimes::new(objective));
-        let Some((upstream, is_trial)) = self.choose(now, flow_key, shard, &times, cause) else {
-            return false;
-        };
+        let (upstream, is_trial) = self.choose(now, flow_key, shard, &times, cause)?;
         if !matches!(cause, SendCause::Primary | SendCause::Resend) {
             let terms = self.extra_terms();
             let pool = &mut self.services[service];
@@ -256,7 +254,7 @@
                 _ => 0.0,
             };
             if !pool.extra.spend(now, &terms, reserve) {
-                return false;
+                return Err(SendDenial::Budget);
             }
             commands.push(ForwardCommand::Note(ForwardNote::Extra {
                 request: Arc::clone(&self.flows[flow_key].request.id),
@@ -300,7 +298,7 @@
             deadline: flow.deadline,
             once: !route.repeatable,
         });
-        true
+        Ok(())
     }
 
     /// The replica with the earliest expected reply, and whether this is its trial.
@@ -311,12 +309,12 @@
         shard: usize,
         times: &ReplyTimes,
         cause: SendCause,
-    ) -> Option<(UpstreamKey, bool)> {
+    ) -> Result<(UpstreamKey, bool), SendDenial> {
         let flow = &self.flows[flow];
         let (shard, route) = (&flow.shards[shard], flow.route());
         let most_sends = route.max_attempts as usize + NOT_RUN_TRIES;
         if shard.runs >= route.max_attempts || shard.tried.len() >= most_sends {
-            return None;
+            return Err(SendDenial::Attempts);
         }
         let service = shard.service;
         let terms = self.terms(service);
@@ -361,11 +359,13 @@
                 best = Some((cost, key));
             }
         }
-        if cause == SendCause::Trial {
-            return trial.map(|key| (key, true));
-        }
-        best.map(|(_, key)| (key, false))
-            .or(trial.map(|key| (key, true)))
+        let trial = trial.map(|key| (key, true));
+        let chosen = if cause == SendCause::Trial {
+            trial
+        } else {
+            best.map(|(_, key)| (key, false)).or(trial)
+        };
+        chosen.ok_or(SendDenial::NoUpstream)
     }
 
     /// Takes account of what has come: answers, or gives up what can't be reached.
@@ -431,7 +431,8 @@
             .collect();
         for shard in due {
             self.flows[key].shards[shard].hedge_at = None;
-            self.send(now, key, shard, SendCause::Hedge, commands);
+            // The attempt that is late still runs.
+            let _unhedged = self.send(now, key, shard, SendCause::Hedge, commands);
         }
     }
 
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -50,6 +50,7 @@
 pub mod replica_choice;
 pub mod retry_budget;
 pub mod routing;
+pub mod send_denial;
 pub mod snapshot;
 pub mod statistics;
 pub mod stewardship;
--- a/crates/core/src/prelude.rs
+++ b/crates/core/src/prelude.rs
@@ -42,6 +42,7 @@
     registered_upstream::RegisteredUpstream,
     replica_chart::{ReplicaAction, ReplicaEvent, ReplicaGuard, ReplicaMachine, ReplicaState},
     routing::{CallerLimits, Route, RouteIndex, RoutingTable, ServiceTerms, ShardTarget, Target},
+    send_denial::SendDenial,
     snapshot::{PublishedItem, Snapshot, SnapshotRequest},
     statistics::EngineStatistics,
     timestamp::Timestamp,
--- a/crates/node/src/forward_log.rs
+++ b/crates/node/src/forward_log.rs
@@ -40,10 +40,11 @@
             service,
             instance,
             cause,
+            denial,
             sent,
         } => info!(log, "shard_given_up"; "request" => &**request, "service" => &**service,
             "instance" => instance.as_deref().unwrap_or("none"),
-            "cause" => *cause, "sent" => *sent),
+            "cause" => *cause, "no_more" => denial.name(), "sent" => *sent),
         ForwardNote::CutOff {
             request,
             service,
