Let entries that vanished for good go at nodes that follow another one

Change: an entry that vanishes is passed on no more. Ruled out: dropping them at once at the node that follows (after an outage all entries lapse together, and it would have no upstream); dropping them whatever the other node knows (while the store is away nothing can return).

--- a/crates/core/src/snapshot.rs
+++ b/crates/core/src/snapshot.rs
@@ -17,6 +17,8 @@
 pub struct Snapshot {
     /// Revision of the registry; 0 for nothing.
     pub revision: u64,
+    /// Whether the last read of the registry succeeded at the node that passes this on.
+    pub current: bool,
     /// The items, in no order.
     pub items: Vec<PublishedItem>,
 }
--- a/crates/node/src/known_items.rs
+++ b/crates/node/src/known_items.rs
@@ -7,6 +7,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct KnownItems {
     revision: u64,
+    /// Whether the last read succeeded.
+    current: bool,
     items: BTreeMap<Arc<str>, Bytes>,
 }
 
@@ -16,11 +18,16 @@
         self.revision
     }
 
-    /// Records the revision of a read. It never falls.
+    /// Records the revision of a read, of the registry or of what another node passed on. It never falls.
     pub(crate) fn read(&mut self, revision: u64) {
         self.revision = self.revision.max(revision);
     }
 
+    /// Records whether the last read of the registry succeeded.
+    pub(crate) fn set_current(&mut self, current: bool) {
+        self.current = current;
+    }
+
     /// Records an item that decides something from now on.
     pub(crate) fn insert(&mut self, item: PublishedItem) {
         self.items.insert(item.key, item.value);
@@ -38,8 +45,12 @@
 
     /// What a node is told that knows everything up to a revision: all items, or nothing if there is nothing later.
     pub(crate) fn after(&self, revision: u64) -> Snapshot {
+        let current = self.current;
         if self.revision <= revision {
-            return Snapshot::default();
+            return Snapshot {
+                current,
+                ..Snapshot::default()
+            };
         }
         let items = self.items.iter().map(|(key, value)| PublishedItem {
             key: Arc::clone(key),
@@ -47,6 +58,7 @@
         });
         Snapshot {
             revision: self.revision,
+            current,
             items: items.collect(),
         }
     }
--- a/crates/node/src/registry_watcher.rs
+++ b/crates/node/src/registry_watcher.rs
@@ -113,7 +113,7 @@
                 Err(fault) => {
                     self.failed(&fault);
                     if let Some(snapshot) = self.ask_helper().await {
-                        self.listed(snapshot);
+                        self.relayed(snapshot);
                     }
                     retry = (retry * 2).min(MAX_RETRY);
                     if self.known.is_empty() {
@@ -157,7 +157,7 @@
             snapshot = self.first_snapshot() => {
                 let reason = "another node answered before the first listing".to_owned();
                 self.failed(&RegistryFault::Unavailable { reason });
-                self.listed(snapshot);
+                self.relayed(snapshot);
             }
         }
         Ok(())
@@ -167,7 +167,9 @@
     async fn first_snapshot(&self) -> Snapshot {
         loop {
             tokio::time::sleep(FIRST_LISTING).await;
-            if let Some(snapshot) = self.ask_helper().await {
+            if let Some(snapshot) = self.ask_helper().await
+                && snapshot.revision > 0
+            {
                 return snapshot;
             }
         }
@@ -182,11 +184,12 @@
         let known = self.items.borrow().revision();
         match snapshot_exchange::ask(helper, known).await {
             Ok(snapshot) => {
-                if let Some(snapshot) = &snapshot {
+                if snapshot.revision > known {
                     info!(self.log, "registry_relayed"; "by" => %helper, "from" => known,
-                        "revision" => snapshot.revision, "items" => snapshot.items.len());
+                        "revision" => snapshot.revision, "items" => snapshot.items.len(),
+                        "current" => snapshot.current);
                 }
-                snapshot
+                Some(snapshot)
             }
             Err(fault) => {
                 debug!(self.log, "snapshot_not_received"; "by" => %helper, "fault" => %fault);
@@ -195,6 +198,18 @@
         }
     }
 
+    /// Takes over what another node has read later than this one. Entries that it no longer has, and that don't return,
+    /// are gone once it reads the registry.
+    fn relayed(&mut self, snapshot: Snapshot) {
+        let current = snapshot.current;
+        if snapshot.revision > self.items.borrow().revision() {
+            self.listed(snapshot);
+        }
+        if current {
+            self.drop_missing();
+        }
+    }
+
     fn pace(&self) -> Duration {
         let returning = Instant::now() < self.missing_until;
         if returning {
@@ -221,9 +236,11 @@
             warn!(self.log, "registry_lost"; "fault" => %fault, "revision" => self.revision);
         }
         self.failing = true;
+        self.items.send_modify(|items| items.set_current(false));
     }
 
     fn regained(&mut self) {
+        self.items.send_modify(|items| items.set_current(true));
         if self.failing {
             info!(self.log, "registry_regained"; "revision" => self.revision);
             self.failing = false;
@@ -260,11 +277,13 @@
             .keys()
             .filter(|instance| !seen.contains(*instance));
         let gone: Vec<_> = gone.map(Arc::clone).collect();
+        if self.failing {
+            let missing = gone.iter().filter(|gone| !self.missing.contains(*gone));
+            self.await_return(missing.count());
+        }
         for instance in gone {
             self.entry_gone(instance);
         }
-        // Entries that may only have lapsed are still gone by.
-        keys.extend(self.known.values().map(Arc::clone));
         self.items.send_modify(|items| items.retain(&keys));
     }
 
@@ -277,13 +296,7 @@
             };
             matches!(removed, Some(Removal::UpstreamGone(_)))
         };
-        let gone = changes.changes.iter().filter(gone).count();
-        let (count, share) = LAPSED_TOGETHER;
-        if gone > count && gone as f64 > share * self.known.len() as f64 {
-            // The registry may have been away without a failed read, and many entries lapsed meanwhile.
-            warn!(self.log, "entries_vanished_together"; "gone" => gone, "known" => self.known.len());
-            self.missing_until = Instant::now() + self.terms.return_grace;
-        }
+        self.await_return(changes.changes.iter().filter(gone).count());
         for change in changes.changes {
             match change {
                 Change::Written(item) => {
@@ -296,6 +309,16 @@
         }
     }
 
+    /// Gives entries that vanish together time to return: the registry may have been away without a failed read, and
+    /// many entries lapsed meanwhile.
+    fn await_return(&mut self, gone: usize) {
+        let (count, share) = LAPSED_TOGETHER;
+        if gone > count && gone as f64 > share * self.known.len() as f64 {
+            warn!(self.log, "entries_vanished_together"; "gone" => gone, "known" => self.known.len());
+            self.missing_until = Instant::now() + self.terms.return_grace;
+        }
+    }
+
     fn read_up_to(&mut self, revision: u64) {
         self.revision = Some(revision);
         self.items.send_modify(|items| items.read(revision));
@@ -347,9 +370,11 @@
 
     /// Takes an entry as gone, unless the registry has just come back: then it may only have lapsed.
     fn entry_gone(&mut self, instance: Arc<str>) {
-        if !self.known.contains_key(&instance) {
+        let Some(key) = self.known.get(&instance) else {
             return;
-        }
+        };
+        // Another node that takes it over has its own time for the return.
+        self.items.send_modify(|items| items.remove(key));
         if Instant::now() < self.missing_until {
             self.missing.insert(instance);
         } else {
@@ -367,9 +392,7 @@
     }
 
     fn forget(&mut self, instance: &Arc<str>) {
-        if let Some(key) = self.known.remove(instance) {
-            self.items.send_modify(|items| items.remove(&key));
-        }
+        self.known.remove(instance);
         self.tell(ForwardEvent::Deregistered(Arc::clone(instance)));
     }
 
--- a/crates/node/src/snapshot_exchange.rs
+++ b/crates/node/src/snapshot_exchange.rs
@@ -54,12 +54,12 @@
     Ok(())
 }
 
-/// Asks one node for what it knows beyond a revision; `None` if that is nothing.
+/// Asks one node for what it knows beyond a revision; of revision 0 if that is nothing.
 ///
 /// # Errors
 ///
 /// If the node does not answer in time, or not in this protocol.
-pub(crate) async fn ask(node: SocketAddr, after: u64) -> io::Result<Option<Snapshot>> {
+pub(crate) async fn ask(node: SocketAddr, after: u64) -> io::Result<Snapshot> {
     let exchange = async {
         let stream = TcpStream::connect(node).await?;
         let mut framed = Framed::new(stream, AskingCodec::default());
@@ -68,8 +68,7 @@
         let ended = || io::Error::from(io::ErrorKind::UnexpectedEof);
         answer.ok_or_else(ended)
     };
-    let snapshot = timeout(EXCHANGE_TIMEOUT, exchange)
+    timeout(EXCHANGE_TIMEOUT, exchange)
         .await
-        .map_err(|_elapsed| io::Error::from(io::ErrorKind::TimedOut))??;
-    Ok((snapshot.revision > after).then_some(snapshot))
+        .map_err(|_elapsed| io::Error::from(io::ErrorKind::TimedOut))?
 }
--- a/crates/wire/src/gen/medlarpost.snapshot.rs
+++ b/crates/wire/src/gen/medlarpost.snapshot.rs
@@ -21,6 +21,9 @@
     /// The items, unread.
     #[prost(message, repeated, tag = "3")]
     pub items: ::prost::alloc::vec::Vec<Item>,
+    /// Whether the sender's last read of the registry succeeded.
+    #[prost(bool, tag = "4")]
+    pub current: bool,
 }
 /// One published item.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/crates/wire/src/snapshot_codec.rs
+++ b/crates/wire/src/snapshot_codec.rs
@@ -97,6 +97,7 @@
             major: MAJOR,
             revision: self.revision,
             items: items.collect(),
+            current: self.current,
         };
         message.encode_to_vec()
     }
@@ -109,6 +110,7 @@
         });
         let snapshot = Self {
             revision: message.revision,
+            current: message.current,
             items: items.collect(),
         };
         Ok((message.major == MAJOR).then_some(snapshot))
--- a/crates/wire/tests/snapshots.rs
+++ b/crates/wire/tests/snapshots.rs
@@ -22,7 +22,11 @@
         value,
     });
     let items = prop::collection::vec(item, 0..8);
-    (any::<u64>(), items).prop_map(|(revision, items)| Snapshot { revision, items })
+    (any::<u64>(), any::<bool>(), items).prop_map(|(revision, current, items)| Snapshot {
+        revision,
+        current,
+        items,
+    })
 }
 
 proptest! {
