Keep the terms of heartbeats beside the statement, and name the requests for documents

Change: Statement works out its interval, DocumentRequest has a constructor for each question. Behaviour as before.

--- a/crates/node/src/control_task.rs
+++ b/crates/node/src/control_task.rs
@@ -19,13 +19,6 @@
 /// Time for which a confirmation of the configuration holds, F: 2 s today, from the design.
 pub const FRESHNESS: Duration = Duration::from_secs(2);
 
-/// Shortest time between heartbeats to a peer.
-const MIN_HEARTBEAT: Duration = Duration::from_millis(500);
-
-/// Time between heartbeats for each published node, so that the bytes a node sends don't grow with the fleet: a
-/// heartbeat each 20 ms at most.
-const HEARTBEAT_SPACING: Duration = Duration::from_millis(20);
-
 /// Peers that a fresh start asks for the states of upstreams. All would send each of 2,500 states 440 times.
 const STATES_FROM: u32 = 3;
 
@@ -216,14 +209,7 @@
                         "remedy" => "publish a higher version");
                 }
                 AgreementOutput::Request { peer, .. } => {
-                    let envelope = true;
-                    self.ask(
-                        peer,
-                        DocumentRequest {
-                            envelope,
-                            ..DocumentRequest::default()
-                        },
-                    );
+                    self.ask(peer, DocumentRequest::for_envelope());
                 }
                 AgreementOutput::FreshUntil(until) => {
                     self.tell_engine(Event::Freshness(until)).await;
@@ -257,16 +243,8 @@
             .agreement
             .is_platform_current(self.clock.now() + FRESHNESS / 4);
         let published = self.fleet.published().map_or(1, <[FleetNode]>::len) as u32;
-        let interval = if alone {
-            FRESHNESS / 4
-        } else {
-            (HEARTBEAT_SPACING * published).max(MIN_HEARTBEAT)
-        };
-        self.peers.state(Statement {
-            version: self.agreement.version(),
-            interval,
-            answer_wanted: alone,
-        });
+        let version = self.agreement.version();
+        self.peers.state(Statement::new(version, alone, published));
     }
 
     async fn link(&mut self, notice: LinkNotice) {
@@ -393,14 +371,7 @@
         let peers: Vec<_> = self.fleet.peers().take(STATES_FROM as usize).collect();
         self.asked_for_states = peers.len() as u32;
         for peer in peers {
-            let upstream_states = true;
-            self.ask(
-                peer,
-                DocumentRequest {
-                    upstream_states,
-                    ..DocumentRequest::default()
-                },
-            );
+            self.ask(peer, DocumentRequest::for_upstream_states());
         }
     }
 
--- a/crates/node/src/link_task.rs
+++ b/crates/node/src/link_task.rs
@@ -1,6 +1,7 @@
 //! The task that owns one connection to a peer.
 
 use crate::{
+    control_task::FRESHNESS,
     link::{Authenticated, Connected, Link, LinkInput},
     link_machine::{LinkAction, LinkEvent, LinkMachine, LinkState},
     link_queue::{LinkQueue, Queued},
@@ -18,6 +19,13 @@
 /// Shortest and longest time between heartbeats that a peer may announce.
 const PEER_INTERVALS: [Duration; 2] = [Duration::from_millis(50), Duration::from_mins(1)];
 
+/// Shortest time between heartbeats to a peer.
+const MIN_HEARTBEAT: Duration = Duration::from_millis(500);
+
+/// Time between heartbeats for each published node, so that the bytes a node sends don't grow with the fleet: a
+/// heartbeat each 20 ms at most.
+const HEARTBEAT_SPACING: Duration = Duration::from_millis(20);
+
 /// What every heartbeat of this node says.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Statement {
@@ -29,6 +37,23 @@
     pub answer_wanted: bool,
 }
 
+impl Statement {
+    /// What a node says in a fleet of `published` nodes. One that is `alone` without its platform wants its peers to
+    /// confirm its version before it lapses.
+    pub(crate) fn new(version: u64, alone: bool, published: u32) -> Self {
+        let interval = if alone {
+            FRESHNESS / 4
+        } else {
+            (HEARTBEAT_SPACING * published).max(MIN_HEARTBEAT)
+        };
+        Self {
+            version,
+            interval,
+            answer_wanted: alone,
+        }
+    }
+}
+
 /// What links tell the control task.
 #[derive(Debug)]
 pub enum LinkNotice {
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -47,6 +47,24 @@
     pub upstream_states: bool,
 }
 
+impl DocumentRequest {
+    /// Asks for the envelope in force.
+    pub fn for_envelope() -> Self {
+        Self {
+            envelope: true,
+            ..Self::default()
+        }
+    }
+
+    /// Asks for the states of all upstreams.
+    pub fn for_upstream_states() -> Self {
+        Self {
+            upstream_states: true,
+            ..Self::default()
+        }
+    }
+}
+
 /// A document.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Document {
