Test why nothing more is sent for a shard, and split the tests of decisions by their matter

Change: give_ups.rs has one test for each reason; at_most_once.rs and overload.rs take their tests from decisions.rs unchanged.

--- a/crates/core/tests/forwarding/forward_bench.rs
+++ b/crates/core/tests/forwarding/forward_bench.rs
@@ -270,6 +270,15 @@
         answers.remove(0).1
     }
 
+    /// Why nothing more was sent for the shards that were given up, since the start.
+    pub fn denials(&self) -> Vec<SendDenial> {
+        let denials = self.commands.iter().filter_map(|command| match command {
+            ForwardCommand::Note(ForwardNote::GaveUp { denial, .. }) => Some(*denial),
+            _ => None,
+        });
+        denials.collect()
+    }
+
     /// Requests that the other nodes are to be told of, since the start.
     pub fn bars(&self) -> Vec<Digest> {
         let bars = self.commands.iter().filter_map(|command| match command {
--- a/crates/core/tests/forwarding/main.rs
+++ b/crates/core/tests/forwarding/main.rs
@@ -1,7 +1,10 @@
 //! Tests of the decisions about forwarded requests.
 
+mod at_most_once;
 mod crash_requests;
 mod decisions;
 mod forward_bench;
+mod give_ups;
+mod overload;
 mod replicas;
 mod schedules;
