--- a/crates/medlarctl/src/soak_checks.rs
+++ b/crates/medlarctl/src/soak_checks.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     soak_observation::{Asked, AskedKind, Ending, Observation, RunReport, SoakTime},
-    soak_world::{SoakBounds, SoakWorld},
+    soak_world::{PublishedConfiguration, SoakBounds, SoakWorld},
 };
 use medlarpost_stand_in::{Received, greatest, records};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -447,7 +447,7 @@
                 return Err(format!("two parts of {}", life.service));
             }
         }
-        let is_set = |c: &&crate::soak_world::PublishedConfiguration| {
+        let is_set = |c: &&PublishedConfiguration| {
             c.shards.len() == parts.len() + missing
                 && services.iter().all(|service| c.shards.contains(service))
         };
--- a/crates/medlarctl/src/soak_command.rs
+++ b/crates/medlarctl/src/soak_command.rs
@@ -1,7 +1,10 @@
 //! `medlarctl soak`, and the processes that it starts beside the nodes.
 
 use crate::{
-    ctl_error::{CtlError, ListenSnafu, ReadSnafu, SoakSnafu, UnknownValueSnafu, ValueSnafu},
+    ctl_error::{
+        CtlError, FoundSnafu, ListenSnafu, ReadSnafu, SoakSnafu, UnknownValueSnafu, ValueSnafu,
+        WriteSnafu,
+    },
     fake_commands::address,
     flags::{Soak, StandInStore as StoreFlags, StandInUpstream as UpstreamFlags},
     soak_observation::RunReport,
@@ -57,7 +60,7 @@
         let _closed = std::io::stdout().flush();
         ensure!(
             report.findings.is_empty(),
-            crate::ctl_error::FoundSnafu {
+            FoundSnafu {
                 count: report.findings.len(),
                 seed,
             }
@@ -104,8 +107,7 @@
     );
     let directory = flags.logs.clone().unwrap_or_else(std::env::temp_dir);
     let directory = directory.join(format!("medlarpost-soak-{}-{seed}", std::process::id()));
-    std::fs::create_dir_all(&directory)
-        .context(crate::ctl_error::WriteSnafu { path: &directory })?;
+    std::fs::create_dir_all(&directory).context(WriteSnafu { path: &directory })?;
     let stand_in_program = std::env::current_exe().context(ReadSnafu {
         path: "this program",
     })?;
--- a/crates/medlarctl/tests/soak_checks.rs
+++ b/crates/medlarctl/tests/soak_checks.rs
@@ -93,27 +93,20 @@
     }
 }
 
-fn answer(status: u16, fields: &str, body: &str) -> Ending {
-    Ending::Answered(Received {
-        status,
-        head: format!("HTTP/1.1 {status} X\r\n{fields}"),
-        body: body.to_owned(),
-    })
+fn failure(status: u16) -> Ending {
+    Ending::Answered(Received::failure(status))
 }
 
 /// The whole answer of the run of the desk with this number.
 fn desk_answer(number: u32) -> Ending {
     let stamp = format!("i-desk.{number}");
-    answer(200, &format!("Response-Stamp: {stamp}"), &records(&stamp))
+    Ending::Answered(Received::of_upstream(&stamp, &records(&stamp)))
 }
 
-fn merged(parts: &[&str], missing: u32) -> Ending {
+fn merged(parts: &[&str], missing: usize) -> Ending {
     let bodies: Vec<_> = parts.iter().map(|stamp| records(stamp)).collect();
-    let fields = format!(
-        "Part-Stamps: {}\r\nMissing-Parts: {missing}",
-        parts.join(", ")
-    );
-    answer(200, &fields, &greatest(&bodies, 5))
+    let body = greatest(&bodies, 5);
+    Ending::Answered(Received::of_shards(parts, missing, &body))
 }
 
 /// Promises that are found broken when this was seen.
@@ -146,7 +139,7 @@
         ran("b", "i-1", 1, AT),
         ended("b", merged(&["i-0.1", "i-1.1"], 0)),
         asked("c", AskedKind::Book),
-        ended("c", answer(503, "", "")),
+        ended("c", failure(503)),
     ];
 
     assert_eq!(broken(&world(), seen), []);
@@ -168,7 +161,7 @@
 fn a_refusal_of_a_booking_that_ran_is_found() {
     let seen = vec![
         asked("a", AskedKind::Book),
-        ended("a", answer(503, "", "")),
+        ended("a", failure(503)),
         ran("a", "i-desk", 1, AT + SECOND),
     ];
 
@@ -191,12 +184,12 @@
 
 #[test]
 fn a_cut_body_is_found() {
-    let fields = "Response-Stamp: i-desk.1";
-    let body = &records("i-desk.1")[..16];
+    let cut = &records("i-desk.1")[..16];
+    let answer = Received::of_upstream("i-desk.1", cut);
     let seen = vec![
         asked("a", AskedKind::Read),
         ran("a", "i-desk", 1, AT),
-        ended("a", answer(200, fields, body)),
+        ended("a", Ending::Answered(answer)),
     ];
 
     assert_eq!(broken(&world(), seen), [Promise::WholeAnswer]);
@@ -284,10 +277,7 @@
 #[test]
 fn an_outdated_configuration_is_found_after_the_bound_only() {
     let mut world = world();
-    let seen = vec![
-        asked("a", AskedKind::Added(2)),
-        ended("a", answer(404, "", "")),
-    ];
+    let seen = vec![asked("a", AskedKind::Added(2)), ended("a", failure(404))];
 
     world
         .configurations
@@ -370,7 +360,7 @@
     world.nodes[0].push(unplanned(SECOND, 2 * SECOND));
     let seen = vec![
         asked("a", AskedKind::Read),
-        ended("a", answer(503, "", "")),
+        ended("a", failure(503)),
         asked("b", AskedKind::Read),
         ended("b", Ending::Late),
     ];
