--- a/crates/core/tests/forwarding/give_ups.rs
+++ b/crates/core/tests/forwarding/give_ups.rs
@@ -73,7 +73,7 @@
     let sent = bench.sent().remove(0);
 
     // The answer needs 10 ms to reach its caller.
-    bench.pass(TIMEOUT - Duration::from_millis(11));
+    bench.pass(TIMEOUT.saturating_sub(Duration::from_millis(11)));
     bench.finish(&sent, ForwardOutcome::NotSent);
 
     assert_eq!(bench.denials(), [SendDenial::Time]);
