Write out the log before the process ends

A start that failed logged nothing, and a SIGTERM between the first log line and the installation of its handler ended the process without a drain. Ruled out: a limit on the line's event, and a full queue; lines are few at a stop. Change: the queue can be flushed within a time limit, a node that can't run logs node_failed, and the stop signals are handled from before the listeners are bound.

--- a/crates/medlarpost/src/platform_run.rs
+++ b/crates/medlarpost/src/platform_run.rs
@@ -1,6 +1,6 @@
 //! Runs a node on the users' platform until a stop signal arrives. SIGHUP reloads the settings file.
 
-use crate::run::{EXIT_INVALID_SETTINGS, start_log_queue, wait_for_stop_signal};
+use crate::run::{EXIT_INVALID_SETTINGS, StopSignals, await_signal, finish, start_log_queue};
 use medlarpost_node::{forward_node::ForwardNode, key_value_drain, prelude::NodeError};
 use medlarpost_platform::{PlatformDialect, PlatformSettings, PlatformStore};
 use slog::{Level, Logger, error, o};
@@ -19,35 +19,25 @@
     let Some(queue) = start_log_queue() else {
         return ExitCode::FAILURE;
     };
-    let log = key_value_drain::queued_logger(Level::Info, queue)
+    let log = key_value_drain::queued_logger(Level::Info, queue.clone())
         .new(o!("node" => settings.node_name().to_owned()));
-    match actix_rt::System::new().block_on(run_node(path, &settings, log)) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("error: {error}");
-            ExitCode::FAILURE
-        }
-    }
+    let result = actix_rt::System::new().block_on(run_node(path, &settings, log.clone()));
+    finish(result, &log, &queue)
 }
 
 async fn run_node(path: &Path, settings: &PlatformSettings, log: Logger) -> Result<(), NodeError> {
     let seed = random_seed();
     let store = PlatformStore::new(settings.store_address());
+    let stop = StopSignals::install();
+    let mut hangup = signal(SignalKind::hangup()).ok();
     let node = ForwardNode::bind(settings.node_settings(seed), log.clone())?;
     let mut node = node.start(PlatformDialect, store)?;
-    let mut hangup_signal = signal(SignalKind::hangup()).ok();
-    let stop = wait_for_stop_signal();
+    let stop = stop.received();
     tokio::pin!(stop);
     loop {
-        let hangup = async {
-            match &mut hangup_signal {
-                Some(signal) => signal.recv().await,
-                None => std::future::pending().await,
-            }
-        };
         tokio::select! {
             () = &mut stop => break,
-            _signal = hangup => match PlatformSettings::read(path) {
+            () = await_signal(&mut hangup) => match PlatformSettings::read(path) {
                 Ok(settings) => node.reload(&settings.node_settings(seed)),
                 Err(error) => error!(log, "settings_unreadable"; "fault" => %error),
             },
--- a/crates/medlarpost/src/run.rs
+++ b/crates/medlarpost/src/run.rs
@@ -12,16 +12,20 @@
     prelude::{NodeError, Settings},
     tls::TlsConfigs,
 };
-use slog::Logger;
+use slog::{Logger, error};
 use std::{
     process::ExitCode,
-    time::{SystemTime, UNIX_EPOCH},
+    time::{Duration, SystemTime, UNIX_EPOCH},
 };
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 
 /// Exit code for settings that are missing or invalid.
 pub(crate) const EXIT_INVALID_SETTINGS: u8 = 2;
 
+/// Longest wait at the end of the process for the reader of standard output. Shorter than the margin that a node leaves
+/// between its last answer and the platform's SIGKILL.
+const LOG_FLUSH_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// Environment variable with the path of the platform's settings file; used if `--settings` is not given.
 const PLATFORM_SETTINGS_VARIABLE: &str = "MEDLARPOST_SETTINGS";
 
@@ -54,33 +58,68 @@
     let Some(queue) = start_log_queue() else {
         return ExitCode::FAILURE;
     };
-    let log = key_value_drain::queued_logger(level, queue);
-    match actix_rt::System::new().block_on(run_node(settings, tls, log)) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("error: {error}");
-            ExitCode::FAILURE
-        }
-    }
+    let log = key_value_drain::queued_logger(level, queue.clone());
+    let result = actix_rt::System::new().block_on(run_node(settings, tls, log.clone()));
+    finish(result, &log, &queue)
 }
 
 async fn run_node(settings: Settings, tls: TlsConfigs, log: Logger) -> Result<(), NodeError> {
+    let stop = StopSignals::install();
     let node = Node::bind(settings, log)?.with_tls(tls).start()?;
-    wait_for_stop_signal().await;
+    stop.received().await;
     node.drain().await.stop().await;
     Ok(())
 }
 
-pub(crate) async fn wait_for_stop_signal() {
-    let (Ok(mut terminate), Ok(mut interrupt)) = (
-        signal(SignalKind::terminate()),
-        signal(SignalKind::interrupt()),
-    ) else {
-        return;
+/// Logs the reason if a node could not run, writes out all queued log lines, and returns the exit code. The process ends
+/// right after this, and with it the thread that writes the lines.
+pub(crate) fn finish(result: Result<(), NodeError>, log: &Logger, queue: &LogQueue) -> ExitCode {
+    let code = match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(fault) => {
+            error!(log, "node_failed"; "fault" => %fault);
+            eprintln!("error: {fault}");
+            ExitCode::FAILURE
+        }
     };
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
+    if !queue.flush(LOG_FLUSH_TIMEOUT) {
+        eprintln!("warning: standard output is blocked or closed; the last log lines are lost");
+    }
+    code
+}
+
+/// Signals that stop a node.
+pub(crate) struct StopSignals {
+    terminate: Option<Signal>,
+    interrupt: Option<Signal>,
+}
+
+impl StopSignals {
+    /// Installs the handlers. Until then a stop signal ends the process at once.
+    pub(crate) fn install() -> Self {
+        Self {
+            terminate: signal(SignalKind::terminate()).ok(),
+            interrupt: signal(SignalKind::interrupt()).ok(),
+        }
+    }
+
+    /// Waits until one of the signals arrives.
+    pub(crate) async fn received(mut self) {
+        tokio::select! {
+            () = await_signal(&mut self.terminate) => {}
+            () = await_signal(&mut self.interrupt) => {}
+        }
+    }
+}
+
+/// Waits for the next signal of a kind; forever if its handler could not be installed.
+pub(crate) async fn await_signal(signal: &mut Option<Signal>) {
+    match signal {
+        Some(signal) => {
+            // `None` would mean that the runtime's signal driver has ended, which it does not.
+            let _received = signal.recv().await;
+        }
+        None => std::future::pending().await,
     }
 }
 
