Heed upstreams that say they are leaving or ask for rest

Cause: an upstream that leaves says so in its replies before the registry shows it, and one that turns a request away may ask for rest; the node heard neither. Ruled out: dropping the belief after a time (an upstream that never reports draining would come back), and trusting another node's word like the upstream's own (one wrong node would take a working upstream from all others). Change: the header of either kind is read from every reply of the instance, also from one that is no longer wanted. A leave holds until a new start, or until the registry has shown it and calls it off; a rest holds for the stated time, five minutes at most. Searches of which too many shards rest are refused before anything is sent, with the time after which enough of them take requests. The time to come back is worked out only for refusals.

--- a/crates/core/src/forward_command.rs
+++ b/crates/core/src/forward_command.rs
@@ -46,6 +46,8 @@
     },
     /// Announce to the other nodes that this request crashes upstreams.
     AnnounceQuarantine(Digest),
+    /// Tell the other nodes what an upstream says of itself.
+    AnnounceNotice(UpstreamNotice),
     /// Log and count this decision.
     Record(ForwardTelemetry),
 }
@@ -75,6 +77,15 @@
         /// Priority of the route; 0 is the most urgent.
         rank: u32,
     },
+    /// A request was refused because the upstreams of too many of its shards want no requests for a while.
+    RefusedResting {
+        /// Id of the caller's request.
+        request: Arc<str>,
+        /// Name of its route.
+        route: Arc<str>,
+        /// Time after which enough of them take requests again.
+        retry_after: Duration,
+    },
     /// Requests with this digest crash upstreams and are refused for a while.
     RequestQuarantined {
         /// Digest of the requests.
@@ -147,6 +158,13 @@
         /// Time since its last reply.
         silent_for: Duration,
     },
+    /// An upstream said of itself that it leaves or wants no requests for a while.
+    UpstreamNoticed {
+        /// The notice; its age is zero if the upstream told this node.
+        notice: UpstreamNotice,
+        /// Whether another node passed it on.
+        from_peer: bool,
+    },
     /// A newer configuration was applied.
     ConfigurationApplied {
         /// Version of the configuration.
--- a/crates/core/src/forward_event.rs
+++ b/crates/core/src/forward_event.rs
@@ -23,6 +23,8 @@
         /// Time since it was quarantined.
         age: Duration,
     },
+    /// Another node reports what an upstream told it.
+    UpstreamNoticed(UpstreamNotice),
     /// A request arrived from a caller.
     RequestArrived {
         /// Key for the answer.
@@ -45,6 +47,6 @@
     pub attempt: AttemptKey,
     /// How the attempt ended.
     pub outcome: ForwardOutcome,
-    /// Load that the upstream reported with its reply, if any.
-    pub load: Option<ReportedLoad>,
+    /// What the upstream said of itself with its reply; empty if there was none.
+    pub report: UpstreamReport,
 }
--- a/crates/core/src/forward_replies.rs
+++ b/crates/core/src/forward_replies.rs
@@ -38,6 +38,7 @@
                 );
                 commands.extend(change.map(ForwardCommand::Record));
             }
+            self.apply_report(now, attempt.upstream, &end.report, commands);
             if end.outcome == ForwardOutcome::NotSent {
                 self.report_process_end(now, attempt.upstream, commands);
             }
@@ -66,6 +67,42 @@
         self.check_completion(now, attempt.flow, commands);
     }
 
+    /// Applies what an upstream says of itself, and tells the other nodes.
+    fn apply_report(
+        &mut self,
+        now: Timestamp,
+        key: UpstreamKey,
+        report: &UpstreamReport,
+        commands: &mut Vec<ForwardCommand>,
+    ) {
+        let replica = &mut self.replicas[key];
+        let mut kinds = Vec::new();
+        if report.leaving && replica.state != ReplicaState::Leaving {
+            replica.announce_leaving();
+            let event = ReplicaEvent::LeaveAnnounced;
+            let change = replica.apply_event(&self.replica_chart, now, event, Duration::ZERO);
+            commands.extend(change.map(ForwardCommand::Record));
+            kinds.push(NoticeKind::Leaving);
+        }
+        if let Some(rest) = report.rest {
+            let left = replica.rest(now, rest);
+            kinds.push(NoticeKind::Resting { left });
+        }
+        for kind in kinds {
+            let notice = UpstreamNotice {
+                instance: Arc::clone(&replica.entry.instance),
+                started_at_ms: replica.entry.started_at_ms,
+                kind,
+                age: Duration::ZERO,
+            };
+            commands.push(ForwardCommand::AnnounceNotice(notice.clone()));
+            commands.push(ForwardCommand::Record(ForwardTelemetry::UpstreamNoticed {
+                notice,
+                from_peer: false,
+            }));
+        }
+    }
+
     /// Updates the quarantine from the end of an attempt.
     fn update_quarantine(
         &mut self,
@@ -218,7 +255,6 @@
         event: FlowEvent,
         commands: &mut Vec<ForwardCommand>,
     ) {
-        let retry_after = self.retry_after(key);
         let Some(flow) = self.flows.get(key) else {
             return;
         };
@@ -230,6 +266,11 @@
         if step.next == FlowState::Answered {
             self.report_cut_off_shards(now, key, commands);
         }
+        let retry_after = if step.actions.contains(&FlowAction::Refuse) {
+            self.retry_after(now, key)
+        } else {
+            Duration::ZERO
+        };
         let Some(flow) = self.flows.get_mut(key) else {
             return;
         };
--- a/crates/core/src/forward_request.rs
+++ b/crates/core/src/forward_request.rs
@@ -95,6 +95,17 @@
     pub slots: u32,
 }
 
+/// What an upstream says of itself in the head of a reply, whatever the outcome.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct UpstreamReport {
+    /// Load that it reports, if any.
+    pub load: Option<ReportedLoad>,
+    /// Whether it is leaving and takes no new requests.
+    pub leaving: bool,
+    /// Time for which it wants no requests from this node. Given with a refusal, and not bounded.
+    pub rest: Option<Duration>,
+}
+
 /// The final answer to a caller.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum ForwardAnswer {
--- a/crates/core/src/forward_sends.rs
+++ b/crates/core/src/forward_sends.rs
@@ -88,6 +88,14 @@
             return commands.push(refuse(ForwardRefusal::Unavailable { retry_after }));
         }
         let shards = self.new_shards(route);
+        if let Some(retry_after) = self.rest_of_all_replicas(now, route, &shards) {
+            commands.push(ForwardCommand::Record(ForwardTelemetry::RefusedResting {
+                request: Arc::clone(&request.id),
+                route: Arc::clone(&route.name),
+                retry_after,
+            }));
+            return commands.push(refuse(ForwardRefusal::Unavailable { retry_after }));
+        }
         if !self.fits_objective(now, route, &shards) {
             commands.push(ForwardCommand::Record(
                 ForwardTelemetry::RefusedOverloaded {
@@ -150,6 +158,54 @@
         self.quarantine.must_refuse(now, digest).then_some(digest)
     }
 
+    /// Time after which enough shards have a replica that takes requests again, if too few have one now because all of
+    /// theirs want none. `None` if the request can be sent.
+    fn rest_of_all_replicas(
+        &self,
+        now: Timestamp,
+        route: &Route,
+        shards: &[ShardAttempts],
+    ) -> Option<Duration> {
+        let mut rests: Vec<Duration> = shards
+            .iter()
+            .filter_map(|shard| self.service_rest_left(now, route, shard.service))
+            .collect();
+        let min_coverage = match &route.target {
+            Target::Shards(target) => target.min_coverage,
+            Target::Service(_) | Target::Split(_) => 1.0,
+        };
+        let needed = (min_coverage * shards.len() as f64 - 1e-9).ceil() as usize;
+        let missing = needed.saturating_sub(shards.len() - rests.len());
+        rests.sort();
+        missing
+            .checked_sub(1)
+            .and_then(|last| rests.get(last).copied())
+    }
+
+    /// Time until the first replica of a service takes requests again; `None` if one does now, or if there is none that
+    /// will.
+    fn service_rest_left(
+        &self,
+        now: Timestamp,
+        route: &Route,
+        service: ServiceKey,
+    ) -> Option<Duration> {
+        let mut shortest = None;
+        for key in &self.services[service].replicas {
+            let replica = &self.replicas[*key];
+            let zone = &replica.entry.zone;
+            let excluded = replica.state == ReplicaState::Leaving
+                || self.evacuated_zones.contains(zone)
+                || !self.settings.is_allowed(route, zone);
+            if excluded {
+                continue;
+            }
+            let left = replica.rest_left(now)?;
+            shortest = Some(shortest.map_or(left, |other: Duration| other.min(left)));
+        }
+        shortest
+    }
+
     /// Whether enough shards can answer within the objective, judged by the queues of their upstreams. Shards without a
     /// warm upstream are assumed to fit, as nothing is known about their queues.
     fn fits_objective(&self, now: Timestamp, route: &Route, shards: &[ShardAttempts]) -> bool {
@@ -335,13 +391,10 @@
         for &key in &self.services[service].replicas {
             let replica = &mut self.replicas[key];
             let zone = &replica.entry.zone;
-            if shard.tried.contains(&key) || self.evacuated_zones.contains(zone) {
-                continue;
-            }
-            let region = self.settings.regions.get(zone);
-            let allowed = route.regions.is_empty()
-                || region.is_some_and(|region| route.regions.iter().any(|r| **r == **region));
-            if !allowed {
+            let excluded = shard.tried.contains(&key)
+                || self.evacuated_zones.contains(zone)
+                || !self.settings.is_allowed(route, zone);
+            if excluded {
                 continue;
             }
             if replica.is_warmed(now) {
@@ -454,10 +507,13 @@
     }
 
     /// Time after which a refused caller should retry.
-    pub(crate) fn retry_after(&self, key: FlowKey) -> Duration {
+    pub(crate) fn retry_after(&self, now: Timestamp, key: FlowKey) -> Duration {
         let Some(flow) = self.flows.get(key) else {
             return NOT_READY_RETRY_AFTER;
         };
+        if let Some(rest) = self.rest_of_all_replicas(now, flow.route(), &flow.shards) {
+            return rest;
+        }
         let is_empty = |shard: &ShardAttempts| self.services[shard.service].replicas.is_empty();
         if flow.shards.iter().any(is_empty) {
             return NOT_READY_RETRY_AFTER;
--- a/crates/core/src/forwarder.rs
+++ b/crates/core/src/forwarder.rs
@@ -9,6 +9,7 @@
     reply_times::ReplyTimes,
     request_quarantine::RequestQuarantine,
     timers::Timers,
+    upstream_notice::AbsentUpstreams,
 };
 use std::collections::{BTreeSet, HashMap};
 
@@ -56,6 +57,15 @@
     pub seed: u64,
 }
 
+impl ForwarderSettings {
+    /// Whether a route's requests may be sent to upstreams in a zone.
+    pub(crate) fn is_allowed(&self, route: &Route, zone: &Arc<str>) -> bool {
+        let region = self.regions.get(zone);
+        route.regions.is_empty()
+            || region.is_some_and(|region| route.regions.iter().any(|r| **r == **region))
+    }
+}
+
 /// Decides how requests are forwarded, from events and the time alone; it does no I/O.
 #[derive(Debug)]
 pub struct Forwarder {
@@ -71,6 +81,7 @@
     pub(crate) timers: Timers<FlowKey>,
     pub(crate) evacuated_zones: BTreeSet<Arc<str>>,
     pub(crate) quarantine: RequestQuarantine,
+    absent_upstreams: AbsentUpstreams,
     pub(crate) fleet_size: u32,
     pub(crate) reply_times: HashMap<Arc<str>, ReplyTimes>,
     /// Longest time left of any request of a route. A request with less has been repeated, and the difference is how
@@ -125,6 +136,7 @@
             timers: Timers::default(),
             evacuated_zones: BTreeSet::new(),
             quarantine: RequestQuarantine::default(),
+            absent_upstreams: AbsentUpstreams::default(),
             reply_times: HashMap::new(),
             longest_wait: HashMap::new(),
             split_credit: HashMap::new(),
@@ -159,6 +171,9 @@
                     ));
                 }
             }
+            ForwardEvent::UpstreamNoticed(notice) => {
+                self.apply_peer_notice(now, notice, commands);
+            }
             ForwardEvent::RequestArrived { caller, request } => {
                 self.handle_request(now, caller, request, commands);
             }
@@ -268,7 +283,11 @@
             (false, true) => self.replica_chart.initial(),
             (false, false) => ReplicaState::Cold,
         };
-        let replica = Replica::new(now, entry, service, initial);
+        let absent_notice = self.absent_upstreams.take(&entry);
+        let mut replica = Replica::new(now, entry, service, initial);
+        if let Some(notice) = absent_notice {
+            replica.apply_absent_notice(notice);
+        }
         let upstream = self.replicas.insert(replica);
         self.services[service].replicas.push(upstream);
         self.replicas_by_instance
@@ -291,6 +310,27 @@
         }
     }
 
+    /// Prefers other replicas to one that another node advises against.
+    fn apply_peer_notice(
+        &mut self,
+        now: Timestamp,
+        notice: UpstreamNotice,
+        commands: &mut Vec<ForwardCommand>,
+    ) {
+        let applies = if let Some(&key) = self.replicas_by_instance.get(&notice.instance) {
+            self.replicas[key].apply_peer_notice(now, &notice)
+        } else {
+            self.absent_upstreams.note_peer(now, &notice);
+            true
+        };
+        if applies {
+            commands.push(ForwardCommand::Record(ForwardTelemetry::UpstreamNoticed {
+                notice,
+                from_peer: true,
+            }));
+        }
+    }
+
     /// Reports the end of an upstream's process to the quarantine, and announces the requests that this quarantines.
     pub(crate) fn report_process_end(
         &mut self,
@@ -317,6 +357,9 @@
         self.report_process_end(now, key, commands);
         let replica = &mut self.replicas[key];
         replica.registered = false;
+        if replica.has_announced_leaving() {
+            self.absent_upstreams.note_left(now, &replica.entry);
+        }
         let change = replica.apply_event(
             &self.replica_chart,
             now,
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -58,6 +58,7 @@
 pub mod upstream_chart;
 pub mod upstream_health;
 pub mod upstream_limiter;
+pub mod upstream_notice;
 pub mod validation_error;
 pub mod warm_up_ownership;
 
--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -11,6 +11,18 @@
 /// Most quarantined requests listed in one heartbeat, the latest first.
 pub const MAX_QUARANTINED_PER_HEARTBEAT: usize = 8;
 
+/// Most notices of upstreams listed in one heartbeat, the latest first.
+pub const MAX_NOTICES_PER_HEARTBEAT: usize = 12;
+
+/// Age up to which a notice of an upstream is passed on to other nodes.
+const MAX_NOTICE_GOSSIP_AGE: Duration = Duration::from_secs(8);
+
+/// Difference up to which two notices of an upstream count as the same one: ages are rounded and the way takes time.
+const NOTICE_CLOCK_ERROR: Duration = Duration::from_millis(200);
+
+/// Notices of upstreams kept for the heartbeats. While it is full, new ones are not passed on.
+const MAX_KEPT_NOTICES: usize = 256;
+
 /// Age up to which a quarantined request is passed on to other nodes.
 const MAX_QUARANTINE_GOSSIP_AGE: Duration = Duration::from_secs(30);
 
@@ -54,6 +66,8 @@
     pub fleet_size: u32,
     /// Requests that were quarantined recently because they crash upstreams, the latest first.
     pub quarantined: Vec<QuarantinedRequest>,
+    /// What upstreams said of themselves recently, the latest first.
+    pub notices: Vec<UpstreamNotice>,
 }
 
 /// A request that is refused because it crashes upstreams.
@@ -84,6 +98,8 @@
     reported_fleet_size: Option<(u32, Timestamp)>,
     /// When each recent request was quarantined.
     quarantined: BTreeMap<Digest, Timestamp>,
+    /// Latest notice of each upstream, and when the upstream gave it.
+    notices: BTreeMap<Arc<str>, (UpstreamNotice, Timestamp)>,
     /// When a new member last appeared.
     last_growth: Timestamp,
     random: fastrand::Rng,
@@ -98,6 +114,7 @@
             members: BTreeMap::new(),
             reported_fleet_size: None,
             quarantined: BTreeMap::new(),
+            notices: BTreeMap::new(),
             last_growth: Timestamp::ZERO,
             random,
         }
@@ -151,7 +168,50 @@
         added
     }
 
+    /// Includes what an upstream said of itself in the next heartbeats.
+    pub fn announce_notice(&mut self, now: Timestamp, notice: UpstreamNotice) {
+        self.keep_notice(now, notice);
+    }
+
+    /// Adds the notices of a heartbeat. Returns those that are newer than what was known.
+    pub fn merge_notices(
+        &mut self,
+        now: Timestamp,
+        heartbeat: &MemberHeartbeat,
+    ) -> Vec<UpstreamNotice> {
+        let recent = heartbeat
+            .notices
+            .iter()
+            .filter(|notice| notice.age < MAX_NOTICE_GOSSIP_AGE);
+        recent
+            .filter(|notice| self.keep_notice(now, (*notice).clone()))
+            .cloned()
+            .collect()
+    }
+
+    /// Keeps a notice if it is newer than the known one of the same upstream. A leaving upstream stays noted as such.
+    fn keep_notice(&mut self, now: Timestamp, notice: UpstreamNotice) -> bool {
+        let given_at = now - notice.age;
+        let is_newer = match self.notices.get(&notice.instance) {
+            None => self.notices.len() < MAX_KEPT_NOTICES,
+            Some((known, _)) if known.started_at_ms != notice.started_at_ms => {
+                known.started_at_ms < notice.started_at_ms
+            }
+            Some((known, at)) => {
+                known.kind != NoticeKind::Leaving
+                    && (notice.kind == NoticeKind::Leaving || given_at > *at + NOTICE_CLOCK_ERROR)
+            }
+        };
+        if is_newer {
+            self.notices
+                .insert(Arc::clone(&notice.instance), (notice, given_at));
+        }
+        is_newer
+    }
+
     fn remove_expired(&mut self, now: Timestamp) {
+        self.notices
+            .retain(|_, (_, given_at)| now.since(*given_at) < MAX_NOTICE_GOSSIP_AGE);
         self.quarantined
             .retain(|_, at| now.since(*at) < MAX_QUARANTINE_GOSSIP_AGE);
         self.members
@@ -243,6 +303,7 @@
         quarantined.sort_by_key(|quarantined| quarantined.age);
         quarantined.truncate(MAX_QUARANTINED_PER_HEARTBEAT);
         MemberHeartbeat {
+            notices: self.recent_notices(now),
             quarantined,
             address: self.settings.address,
             known_members,
@@ -251,6 +312,28 @@
         }
     }
 
+    fn recent_notices(&self, now: Timestamp) -> Vec<UpstreamNotice> {
+        let notices = self.notices.values().map(|(notice, given_at)| {
+            let age = now.since(*given_at);
+            let passed = age.saturating_sub(notice.age);
+            let kind = match notice.kind {
+                NoticeKind::Leaving => NoticeKind::Leaving,
+                NoticeKind::Resting { left } => NoticeKind::Resting {
+                    left: left.saturating_sub(passed),
+                },
+            };
+            UpstreamNotice {
+                kind,
+                age,
+                ..notice.clone()
+            }
+        });
+        let mut notices: Vec<_> = notices.collect();
+        notices.sort_by_key(|notice| notice.age);
+        notices.truncate(MAX_NOTICES_PER_HEARTBEAT);
+        notices
+    }
+
     fn record_sighting(&mut self, address: SocketAddr, at: Timestamp) {
         if address == self.settings.address {
             return;
--- a/crates/core/src/prelude.rs
+++ b/crates/core/src/prelude.rs
@@ -28,7 +28,7 @@
     forward_event::{AttemptEnd, ForwardEvent},
     forward_request::{
         ForwardAnswer, ForwardOutcome, ForwardRefusal, ForwardRequest, MergedAnswer, NotRunCause,
-        ReportedLoad, UpstreamReply,
+        ReportedLoad, UpstreamReply, UpstreamReport,
     },
     forwarder::{Forwarder, ForwarderSettings},
     keys::{
@@ -51,6 +51,7 @@
     send_denial::SendDenial,
     snapshot::{PublishedItem, Snapshot, SnapshotRequest},
     timestamp::Timestamp,
+    upstream_notice::{NoticeKind, UpstreamNotice},
     validation_error::{ValidationCode, ValidationError},
 };
 
--- a/crates/core/src/replica.rs
+++ b/crates/core/src/replica.rs
@@ -1,6 +1,6 @@
 //! State and load of a registered upstream as seen by this node.
 
-use crate::{prelude::*, reply_times::ReplyTimes};
+use crate::{prelude::*, reply_times::ReplyTimes, upstream_notice::AbsentNotice};
 use std::collections::VecDeque;
 
 /// Wait before the first trial request of a suspect; doubles after each failure.
@@ -35,6 +35,13 @@
 /// budget.
 const FAILURE_COST: f64 = 4.0;
 
+/// Longest time for which an upstream's own word keeps requests away from it. A faulty one may state any number.
+const MAX_REST: Duration = Duration::from_mins(5);
+
+/// Cost of a replica that another node advises against, in seconds: more than any reply takes, so that it is used only if
+/// no other one accepts work.
+const ADVISED_AGAINST_COST_SECS: f64 = 60.0;
+
 /// Window in which requests to a cold upstream are counted. A little longer than the second for which its rate is
 /// given, because requests may be delayed on the way.
 const COLD_WINDOW: Duration = Duration::from_millis(1_200);
@@ -64,6 +71,13 @@
     failure_rate: f64,
     failures_updated_at: Timestamp,
     load: Option<(Timestamp, ReportedLoad)>,
+    /// Whether it is leaving by its own word. The registry's entry, which may be older, brings it back only with a new
+    /// start or after it has shown the upstream as leaving.
+    announced_leaving: bool,
+    /// Time until which the upstream wants no requests from this node.
+    rest_until: Timestamp,
+    /// Time until which other replicas are preferred, because another node advises against this one.
+    avoid_until: Timestamp,
 }
 
 impl Replica {
@@ -91,9 +105,52 @@
             failure_rate: 0.0,
             failures_updated_at: Timestamp::ZERO,
             load: None,
+            announced_leaving: false,
+            rest_until: Timestamp::ZERO,
+            avoid_until: Timestamp::ZERO,
+        }
+    }
+
+    /// Applies what was known of the upstream before its entry appeared.
+    pub(crate) fn apply_absent_notice(&mut self, notice: AbsentNotice) {
+        self.avoid_until = notice.avoid_until;
+        if notice.leaving && self.state != ReplicaState::Leaving {
+            self.announced_leaving = true;
+            self.state = ReplicaState::Leaving;
         }
     }
 
+    /// Applies another node's notice. Returns whether it applies to this start of the upstream.
+    pub(crate) fn apply_peer_notice(&mut self, now: Timestamp, notice: &UpstreamNotice) -> bool {
+        let applies = notice.started_at_ms == self.entry.started_at_ms;
+        if applies {
+            self.avoid_until = self.avoid_until.max(now + notice.holds_for());
+        }
+        applies
+    }
+
+    /// Keeps requests away for the time that the upstream states. Returns how long that is, bounded.
+    pub(crate) fn rest(&mut self, now: Timestamp, time: Duration) -> Duration {
+        let time = time.min(MAX_REST);
+        self.rest_until = self.rest_until.max(now + time);
+        time
+    }
+
+    /// Time for which it still wants no requests; `None` if it takes them.
+    pub(crate) fn rest_left(&self, now: Timestamp) -> Option<Duration> {
+        (self.rest_until > now).then(|| self.rest_until.since(now))
+    }
+
+    /// Marks it as leaving by its own word. The chart event follows separately.
+    pub(crate) fn announce_leaving(&mut self) {
+        self.announced_leaving = true;
+    }
+
+    /// Whether it is leaving by its own word.
+    pub(crate) fn has_announced_leaving(&self) -> bool {
+        self.announced_leaving
+    }
+
     /// Applies an event to the state chart. Returns the change for the log if the state differs.
     pub(crate) fn apply_event(
         &mut self,
@@ -141,20 +198,15 @@
 
     /// Whether it can be sent another attempt, given the connections that this node may use and the requests that it
     /// may send in one [`COLD_WINDOW`] while the upstream is cold.
-    pub(crate) fn accepts_work(
-        &mut self,
-        now: Timestamp,
-        connections: u32,
-        cold_sends: u32,
-    ) -> bool {
-        if self.running.len() >= connections as usize {
+    pub(crate) fn accepts_work(&self, now: Timestamp, connections: u32, cold_sends: u32) -> bool {
+        if self.rest_until > now || self.running.len() >= connections as usize {
             return false;
         }
         match self.state {
             ReplicaState::Warm => true,
             ReplicaState::Cold => {
-                self.expire_sends(now);
-                self.recent_sends.len() < cold_sends as usize
+                let recent = |at: &&Timestamp| now.since(**at) < COLD_WINDOW;
+                self.recent_sends.iter().filter(recent).count() < cold_sends as usize
             }
             ReplicaState::Suspect | ReplicaState::Trial | ReplicaState::Leaving => false,
         }
@@ -162,7 +214,7 @@
 
     /// Whether it is suspect and its backoff has passed.
     pub(crate) fn trial_due(&self, now: Timestamp) -> bool {
-        self.state == ReplicaState::Suspect && self.trial_at <= now
+        self.state == ReplicaState::Suspect && self.trial_at <= now && self.rest_until <= now
     }
 
     /// Expected time to a reply, plus the cost of its likely failure.
@@ -173,7 +225,12 @@
         let slots = self.entry.slots.max(1);
         let busy = f64::from(self.known_requests(now).min(slots)) / f64::from(slots) * 0.1;
         let time = service_time * (1.0 + self.rounds_ahead(now) + busy);
-        time + self.remaining_pause_secs(now, times) + failing
+        let advised_against = if self.avoid_until > now {
+            ADVISED_AGAINST_COST_SECS
+        } else {
+            0.0
+        };
+        time + self.remaining_pause_secs(now, times) + failing + advised_against
     }
 
     /// Time of a request in its queue and in service. Ignores slowness, because a slow upstream with an empty queue is
@@ -185,13 +242,16 @@
     /// Number of times that all slots are used before a new request gets one.
     fn rounds_ahead(&self, now: Timestamp) -> f64 {
         let slots = self.entry.slots.max(1);
-        f64::from((self.known_requests(now) + 1).saturating_sub(slots)) / f64::from(slots)
+        let waiting = self.known_requests(now).saturating_add(1);
+        f64::from(waiting.saturating_sub(slots)) / f64::from(slots)
     }
 
     /// Known requests in service or in its queue: the reported ones or this node's own, whichever are more.
     fn known_requests(&self, now: Timestamp) -> u32 {
         let reported = match self.load {
-            Some((at, load)) if now.since(at) < MAX_LOAD_AGE => load.running + load.waiting,
+            Some((at, load)) if now.since(at) < MAX_LOAD_AGE => {
+                load.running.saturating_add(load.waiting)
+            }
             _ => 0,
         };
         reported.max(self.running.len() as u32)
@@ -266,7 +326,7 @@
             .iter()
             .position(|(key, _)| *key == end.attempt)?;
         let (_, sent) = self.running.remove(position);
-        if let Some(load) = end.load {
+        if let Some(load) = end.report.load {
             self.load = Some((now, load));
         }
         match &end.outcome {
@@ -318,12 +378,18 @@
             || (!entry.cold_for.is_zero() && self.state != ReplicaState::Cold);
         self.cold_until = self.cold_until.max(now + entry.cold_for);
         let (was_leaving, leaving) = (self.state == ReplicaState::Leaving, entry.leaving);
+        if entry.started_at_ms != self.entry.started_at_ms {
+            self.announced_leaving = false;
+            (self.rest_until, self.avoid_until) = (Timestamp::ZERO, Timestamp::ZERO);
+        }
         self.entry = entry;
         if leaving {
+            // From here on the registry is at least as recent as the upstream's own word.
+            self.announced_leaving = false;
             return Some(ReplicaEvent::Leave);
         }
         if was_leaving {
-            return Some(ReplicaEvent::Stay);
+            return (!self.announced_leaving).then_some(ReplicaEvent::Stay);
         }
         restarted.then_some(ReplicaEvent::Restarted)
     }
--- a/crates/core/src/replica_chart.rs
+++ b/crates/core/src/replica_chart.rs
@@ -35,7 +35,9 @@
         Answered = "answered",
         /// The registry shows that it drains, its entry has gone, or another process has its address.
         Leave = "leave",
-        /// The registry shows that it accepts requests again.
+        /// The upstream says in a reply that it is leaving.
+        LeaveAnnounced = "leave_announced",
+        /// The registry shows that it accepts requests again, or a new start of the process.
         Stay = "stay",
     }
 }
--- a/crates/core/tests/forwarding/forward_harness.rs
+++ b/crates/core/tests/forwarding/forward_harness.rs
@@ -193,11 +193,24 @@
         sent: &Sent,
         outcome: ForwardOutcome,
         load: Option<ReportedLoad>,
+    ) {
+        let report = UpstreamReport {
+            load,
+            ..UpstreamReport::default()
+        };
+        self.end_attempt_with_report(sent, outcome, report);
+    }
+
+    pub fn end_attempt_with_report(
+        &mut self,
+        sent: &Sent,
+        outcome: ForwardOutcome,
+        report: UpstreamReport,
     ) {
         self.handle(ForwardEvent::AttemptEnded(AttemptEnd {
             attempt: sent.attempt,
             outcome,
-            load,
+            report,
         }));
     }
 
@@ -292,6 +305,15 @@
         digests.collect()
     }
 
+    /// Notices announced to other nodes, since the start.
+    pub fn announced_notices(&self) -> Vec<UpstreamNotice> {
+        let notices = self.commands.iter().filter_map(|command| match command {
+            ForwardCommand::AnnounceNotice(notice) => Some(notice.clone()),
+            _ => None,
+        });
+        notices.collect()
+    }
+
     /// Instance and waiting time of the attempts cut off, since the start.
     pub fn cut_off_shards(&self) -> Vec<(String, Duration)> {
         let cut_off = self.commands.iter().filter_map(|command| match command {
--- a/crates/core/tests/membership.rs
+++ b/crates/core/tests/membership.rs
@@ -138,3 +138,68 @@
     merged.remove(7);
     assert_eq!(merged, [1; 39]);
 }
+
+fn notice(kind: NoticeKind) -> UpstreamNotice {
+    UpstreamNotice {
+        instance: "i-1".into(),
+        started_at_ms: 1,
+        kind,
+        age: Duration::ZERO,
+    }
+}
+
+/// Guards against nodes that go on using an upstream that has told another node that it is leaving, and against notices
+/// that circulate for ever.
+#[test]
+fn notice_reaches_each_node_once() {
+    let mut nodes: Vec<_> = (0..40).map(|number| node(number, &[0])).collect();
+    for second in 0..4 {
+        exchange_heartbeats(&mut nodes, Timestamp::from_millis(second * 1_000), |_| true);
+    }
+    let start = Timestamp::from_millis(4_000);
+    nodes[7].announce_notice(start, notice(NoticeKind::Leaving));
+    let mut heard = vec![0; nodes.len()];
+
+    for second in 4..30 {
+        let now = Timestamp::from_millis(second * 1_000);
+        for from in 0..nodes.len() {
+            let (targets, heartbeat) = nodes[from].next_heartbeat(now);
+            for to in 0..nodes.len() {
+                if targets.contains(&address(to)) {
+                    heard[to] += nodes[to].merge_notices(now, &heartbeat).len();
+                }
+            }
+        }
+    }
+
+    let missed = heard.iter().filter(|count| **count == 0).count();
+    assert!(
+        missed <= 1,
+        "only the announcing node has not heard: {heard:?}"
+    );
+    assert!(heard.iter().all(|count| *count <= 1), "{heard:?}");
+}
+
+/// Guards against a rest that starts anew at each node that passes the notice on.
+#[test]
+fn passed_on_rest_gets_shorter_with_time() {
+    let mut nodes = [node(0, &[0, 1]), node(1, &[0])];
+    exchange_heartbeats(&mut nodes, Timestamp::from_millis(1_000), |_| true);
+    let (left, left_later) = (Duration::from_secs(5), Duration::from_secs(3));
+    nodes[0].announce_notice(
+        Timestamp::from_millis(2_000),
+        notice(NoticeKind::Resting { left }),
+    );
+
+    let now = Timestamp::from_millis(4_000);
+    let (_, heartbeat) = nodes[0].next_heartbeat(now);
+    let heard = nodes[1].merge_notices(now, &heartbeat);
+
+    assert_eq!(
+        (heard[0].kind, heard[0].age),
+        (
+            NoticeKind::Resting { left: left_later },
+            Duration::from_secs(2)
+        )
+    );
+}
--- a/crates/node/src/dialect.rs
+++ b/crates/node/src/dialect.rs
@@ -28,13 +28,13 @@
         time_left: Duration,
     ) -> Option<RequestHead>;
 
-    /// Parses an upstream's complete reply to a request: its outcome and the load that it reports.
+    /// Parses an upstream's complete reply to a request: its outcome and what the upstream says of itself.
     fn parse_upstream_reply(
         &self,
         request: &ForwardRequest,
         head: &ResponseHead,
         body: Bytes,
-    ) -> (ForwardOutcome, Option<ReportedLoad>);
+    ) -> (ForwardOutcome, UpstreamReport);
 }
 
 /// Why a caller's request was rejected before it was forwarded.
--- a/crates/node/src/forward_log.rs
+++ b/crates/node/src/forward_log.rs
@@ -29,6 +29,12 @@
         } => {
             info!(log, "refused_overloaded"; "request" => &**request, "route" => &**route, "rank" => *rank);
         }
+        ForwardTelemetry::RefusedResting {
+            request,
+            route,
+            retry_after,
+        } => info!(log, "refused_resting"; "request" => &**request, "route" => &**route,
+            "retry_after_ms" => retry_after.as_millis() as u64),
         ForwardTelemetry::RequestQuarantined { digest, from_peer } => {
             warn!(log, "request_barred"; "digest" => %digest, "told" => *from_peer);
         }
@@ -83,6 +89,14 @@
         } => info!(log, "upstream_changed"; "instance" => &**instance, "service" => &**service,
             "from" => from.name(), "to" => to.name(), "cause" => cause.name(),
             "silent_ms" => silent_for.as_millis() as u64),
+        ForwardTelemetry::UpstreamNoticed { notice, from_peer } => {
+            let left = match notice.kind {
+                NoticeKind::Leaving => None,
+                NoticeKind::Resting { left } => Some(left.as_millis() as u64),
+            };
+            info!(log, "upstream_notice"; "instance" => &*notice.instance, "kind" => notice.kind.name(),
+                "left_ms" => left, "told" => *from_peer, "age_ms" => notice.age.as_millis() as u64);
+        }
         ForwardTelemetry::ConfigurationApplied { version, routes } => {
             info!(log, "configuration_in_force"; "version" => *version, "routes" => *routes);
         }
--- a/crates/node/src/forward_metrics.rs
+++ b/crates/node/src/forward_metrics.rs
@@ -16,6 +16,7 @@
     extra_attempts: IntCounterVec,
     given_up: IntCounterVec,
     upstream_changes: IntCounterVec,
+    notices: IntCounterVec,
 }
 
 impl ForwardMetrics {
@@ -25,11 +26,12 @@
     ///
     /// If the registry already has a metric of the same name.
     pub fn register(registry: &Registry) -> prometheus::Result<Self> {
-        let counter = |name: &str, help: &str, label: &str| {
-            let counter = IntCounterVec::new(Opts::new(name, help), &[label])?;
+        let counter_by = |name: &str, help: &str, labels: &[&str]| {
+            let counter = IntCounterVec::new(Opts::new(name, help), labels)?;
             registry.register(Box::new(counter.clone()))?;
             Ok::<_, prometheus::Error>(counter)
         };
+        let counter = |name: &str, help: &str, label: &str| counter_by(name, help, &[label]);
         let options = HistogramOpts::new(
             "medlarpost_forward_answer_seconds",
             "Time from a caller's request to its answer, by outcome",
@@ -61,6 +63,11 @@
                 "Changes of the belief about an upstream, by the new belief",
                 "to",
             )?,
+            notices: counter_by(
+                "medlarpost_forward_upstream_notices_total",
+                "Notices that an upstream is leaving or wants no requests, by kind and by who told this node",
+                &["kind", "source"],
+            )?,
         })
     }
 
@@ -81,6 +88,15 @@
             ForwardTelemetry::RefusedOverloaded { .. } => {
                 self.given_up.with_label_values(&["overloaded"]).inc();
             }
+            ForwardTelemetry::RefusedResting { .. } => {
+                self.given_up.with_label_values(&["resting"]).inc();
+            }
+            ForwardTelemetry::UpstreamNoticed { notice, from_peer } => {
+                let source = if *from_peer { "node" } else { "upstream" };
+                self.notices
+                    .with_label_values(&[notice.kind.name(), source])
+                    .inc();
+            }
             ForwardTelemetry::RefusedQuarantined { .. } => {
                 self.given_up.with_label_values(&["barred"]).inc();
             }
--- a/crates/node/src/forward_node.rs
+++ b/crates/node/src/forward_node.rs
@@ -137,7 +137,7 @@
         let metrics =
             ForwardMetrics::register(&metrics_registry).context(node_error::MetricsSnafu)?;
         let (forward, forward_rx) = mpsc::unbounded_channel();
-        let (quarantined, quarantined_rx) = mpsc::unbounded_channel();
+        let (announcements, announcements_rx) = mpsc::unbounded_channel();
         let (limits, limits_rx) = watch::channel(CallerLimits::default());
         let (phase, phase_rx) = watch::channel(ListenerPhase::Open);
         let (ready, ready_rx) = watch::channel(Readiness::default());
@@ -153,7 +153,7 @@
             log: log.clone(),
             limits,
             ready: ready.clone(),
-            quarantined,
+            announcements,
         };
         actix_rt::spawn(forward_task::run(parts, forward.clone(), forward_rx));
         let membership = Membership::new(settings.membership.clone());
@@ -169,7 +169,7 @@
         actix_rt::spawn(snapshots);
         actix_rt::spawn(watcher.run());
         let channels = MemberChannels {
-            quarantined: quarantined_rx,
+            announcements: announcements_rx,
             forward: forward.clone(),
             contacts,
         };
--- a/crates/node/src/forward_task.rs
+++ b/crates/node/src/forward_task.rs
@@ -5,6 +5,7 @@
     dialect::Dialect,
     forward_metrics::ForwardMetrics,
     forward_node::Readiness,
+    member_task::Announcement,
     prelude::*,
     upstream_connection::{ConnectionParts, ConnectionReport, ForwardJob, UpstreamConnectionKey},
 };
@@ -77,8 +78,8 @@
     pub limits: watch::Sender<CallerLimits>,
     /// Result of the readiness check; this task updates whether requests can be answered.
     pub ready: watch::Sender<Readiness>,
-    /// Digests of requests that crash upstreams, for the heartbeats to other nodes.
-    pub quarantined: mpsc::UnboundedSender<Digest>,
+    /// What this node has learnt, for the heartbeats to other nodes.
+    pub announcements: mpsc::UnboundedSender<Announcement>,
 }
 
 struct ForwardTask<D> {
@@ -235,9 +236,9 @@
                 }
             }
             ForwardCommand::AnnounceQuarantine(digest) => {
-                // The receiver ends only with the process.
-                let _ended = self.parts.quarantined.send(digest);
+                self.announce(Announcement::Quarantined(digest));
             }
+            ForwardCommand::AnnounceNotice(notice) => self.announce(Announcement::Notice(notice)),
             ForwardCommand::Record(telemetry) => {
                 self.parts.metrics.record(&telemetry);
                 crate::forward_log::write_telemetry(&self.parts.log, &telemetry);
@@ -245,6 +246,11 @@
         }
     }
 
+    fn announce(&self, announcement: Announcement) {
+        // The receiver ends only with the process.
+        let _ended = self.parts.announcements.send(announcement);
+    }
+
     fn status(&self) -> ForwardStatus {
         let forwarder = &self.parts.forwarder;
         ForwardStatus {
--- a/crates/node/src/member_task.rs
+++ b/crates/node/src/member_task.rs
@@ -15,11 +15,20 @@
 /// Interval of heartbeats while no other node is known.
 const DISCOVERY_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Something that this node has learnt and tells the others.
+#[derive(Clone, Debug)]
+pub enum Announcement {
+    /// Requests with this digest crash upstreams.
+    Quarantined(Digest),
+    /// What an upstream says of itself.
+    Notice(UpstreamNotice),
+}
+
 /// Channels between the membership task and the rest of the node.
 pub(crate) struct MemberChannels {
-    /// Digests of requests that crashed upstreams of this node, to include in heartbeats.
-    pub(crate) quarantined: mpsc::UnboundedReceiver<Digest>,
-    /// Receives the fleet size and the quarantined requests of other nodes.
+    /// What this node has learnt, to include in heartbeats.
+    pub(crate) announcements: mpsc::UnboundedReceiver<Announcement>,
+    /// Receives the fleet size, and what other nodes have learnt.
     pub(crate) forward: ForwardSender,
     /// Receives the addresses of nodes to ask for registry snapshots.
     pub(crate) contacts: watch::Sender<Vec<SocketAddr>>,
@@ -50,6 +59,9 @@
                     for QuarantinedRequest { digest, age } in membership.merge_quarantined(clock.now(), &heartbeat) {
                         channels.send_event(ForwardEvent::QuarantinedElsewhere { digest, age });
                     }
+                    for notice in membership.merge_notices(clock.now(), &heartbeat) {
+                        channels.send_event(ForwardEvent::UpstreamNoticed(notice));
+                    }
                     if let Some(answer) = membership.handle_heartbeat(clock.now(), &heartbeat) {
                         send_heartbeat(&mut framed, answer, from, &log).await;
                     }
@@ -59,10 +71,14 @@
                 Some(Err(fault)) => debug!(log, "datagram_failed"; "fault" => %fault),
                 None => return,
             },
-            Some(digest) = channels.quarantined.recv() => {
-                membership.quarantine_request(clock.now(), digest);
-                next_heartbeat = tokio::time::Instant::now();
-            }
+            Some(announcement) = channels.announcements.recv() => match announcement {
+                Announcement::Quarantined(digest) => {
+                    membership.quarantine_request(clock.now(), digest);
+                    next_heartbeat = tokio::time::Instant::now();
+                }
+                // Waits for the next heartbeat, because an overloaded upstream gives many notices.
+                Announcement::Notice(notice) => membership.announce_notice(clock.now(), notice),
+            },
             () = tokio::time::sleep_until(next_heartbeat) => {
                 let (targets, heartbeat) = membership.next_heartbeat(clock.now());
                 let interval = if heartbeat.answer_wanted { DISCOVERY_INTERVAL } else { HEARTBEAT_INTERVAL };
--- a/crates/node/src/upstream_connection.rs
+++ b/crates/node/src/upstream_connection.rs
@@ -88,7 +88,7 @@
 /// Result of one request and reply.
 struct ExchangeResult {
     outcome: ForwardOutcome,
-    load: Option<ReportedLoad>,
+    report: UpstreamReport,
     reusable: bool,
     keep_alive: Option<Duration>,
 }
@@ -97,7 +97,7 @@
     fn failed(outcome: ForwardOutcome) -> Self {
         Self {
             outcome,
-            load: None,
+            report: UpstreamReport::default(),
             reusable: false,
             keep_alive: None,
         }
@@ -167,7 +167,7 @@
             Ok(reply) => {
                 let keep_alive = reply.keep_alive();
                 let reusable = reply.reusable && stream.input.is_empty();
-                let (outcome, load) =
+                let (outcome, report) =
                     self.parts
                         .dialect
                         .parse_upstream_reply(&job.request, &reply.head, reply.body);
@@ -178,7 +178,7 @@
                 }
                 ExchangeResult {
                     outcome,
-                    load,
+                    report,
                     reusable,
                     keep_alive,
                 }
@@ -267,7 +267,7 @@
         let end = AttemptEnd {
             attempt,
             outcome: exchange.outcome,
-            load: exchange.load,
+            report: exchange.report,
         };
         self.send_report(Some(end), exchange.reusable, exchange.keep_alive);
     }
--- a/crates/wire/src/gen/medlarpost.member.rs
+++ b/crates/wire/src/gen/medlarpost.member.rs
@@ -20,6 +20,38 @@
     /// Requests that crash upstreams; at most 8.
     #[prost(message, repeated, tag = "6")]
     pub barred: ::prost::alloc::vec::Vec<Barred>,
+    /// What upstreams said of themselves lately; at most 12.
+    #[prost(message, repeated, tag = "7")]
+    pub notices: ::prost::alloc::vec::Vec<Notice>,
+}
+/// Something that an upstream said of itself in a reply.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Notice {
+    /// Instance of the upstream, at most 200 bytes.
+    #[prost(string, tag = "1")]
+    pub instance: ::prost::alloc::string::String,
+    /// Start of its process, in milliseconds since the Unix epoch.
+    #[prost(uint64, tag = "2")]
+    pub started_at_ms: u64,
+    /// Milliseconds since it said so.
+    #[prost(uint32, tag = "3")]
+    pub age_ms: u32,
+    /// What it said; a notice of another kind is ignored.
+    #[prost(oneof = "notice::Content", tags = "4, 5")]
+    pub content: ::core::option::Option<notice::Content>,
+}
+/// Nested message and enum types in `Notice`.
+pub mod notice {
+    /// What it said; a notice of another kind is ignored.
+    #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Oneof)]
+    pub enum Content {
+        /// It is leaving and takes no new requests; always true.
+        #[prost(bool, tag = "4")]
+        Leaving(bool),
+        /// It wants no requests for so many more milliseconds.
+        #[prost(uint32, tag = "5")]
+        RestingMs(u32),
+    }
 }
 /// A request that is not sent for a while.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/crates/wire/src/member_heartbeat_codec.rs
+++ b/crates/wire/src/member_heartbeat_codec.rs
@@ -1,7 +1,10 @@
 //! Codec for the UDP heartbeats of the membership protocol, by which nodes discover each other.
 
-use crate::{generated_member as gen_member, prelude::*};
-use medlarpost_core::membership::MAX_QUARANTINED_PER_HEARTBEAT;
+use crate::{
+    generated_member::{self as gen_member, notice::Content},
+    prelude::*,
+};
+use medlarpost_core::membership::{MAX_NOTICES_PER_HEARTBEAT, MAX_QUARANTINED_PER_HEARTBEAT};
 use prost::Message as _;
 use tokio_util::codec::{Decoder, Encoder};
 
@@ -14,6 +17,9 @@
 /// Largest datagram that is decoded, in bytes: 64 nodes of about 30 bytes, so that a heartbeat fits in one packet.
 pub const MAX_DATAGRAM_BYTES: usize = 4096;
 
+/// Longest name of an instance in a notice, in bytes.
+const MAX_INSTANCE_BYTES: usize = 200;
+
 /// Encodes and decodes one membership heartbeat per datagram.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct MemberHeartbeatCodec;
@@ -37,6 +43,7 @@
             answer_wanted: item.answer_wanted,
             fleet: item.fleet_size,
             barred: barred.collect(),
+            notices: item.notices.iter().map(encode_notice).collect(),
         };
         dst.reserve(message.encoded_len());
         message.encode(dst)?;
@@ -89,5 +96,45 @@
         answer_wanted: message.answer_wanted,
         fleet_size: message.fleet.min(MAX_FLEET_SIZE),
         quarantined: barred.collect::<Option<_>>()?,
+        notices: message
+            .notices
+            .iter()
+            .take(MAX_NOTICES_PER_HEARTBEAT)
+            .filter_map(decode_notice)
+            .collect(),
+    })
+}
+
+fn encode_notice(notice: &UpstreamNotice) -> gen_member::Notice {
+    let content = match notice.kind {
+        NoticeKind::Leaving => Content::Leaving(true),
+        NoticeKind::Resting { left } => {
+            Content::RestingMs(u32::try_from(left.as_millis()).unwrap_or(u32::MAX))
+        }
+    };
+    gen_member::Notice {
+        instance: notice.instance.to_string(),
+        started_at_ms: notice.started_at_ms,
+        age_ms: u32::try_from(notice.age.as_millis()).unwrap_or(u32::MAX),
+        content: Some(content),
+    }
+}
+
+/// Decodes a notice; `None` if its instance can't be one or its content is unknown.
+fn decode_notice(notice: &gen_member::Notice) -> Option<UpstreamNotice> {
+    if notice.instance.is_empty() || notice.instance.len() > MAX_INSTANCE_BYTES {
+        return None;
+    }
+    let kind = match notice.content? {
+        Content::Leaving(_) => NoticeKind::Leaving,
+        Content::RestingMs(left) => NoticeKind::Resting {
+            left: Duration::from_millis(left.into()),
+        },
+    };
+    Some(UpstreamNotice {
+        instance: notice.instance.as_str().into(),
+        started_at_ms: notice.started_at_ms,
+        kind,
+        age: Duration::from_millis(notice.age_ms.into()),
     })
 }
--- a/crates/wire/tests/member_heartbeat_codec.rs
+++ b/crates/wire/tests/member_heartbeat_codec.rs
@@ -7,6 +7,15 @@
 use proptest::{prelude::*, test_runner::RngSeed};
 use tokio_util::codec::{Decoder as _, Encoder as _};
 
+fn notice(kind: NoticeKind) -> UpstreamNotice {
+    UpstreamNotice {
+        instance: "i-1".into(),
+        started_at_ms: 1_796_000_000_000,
+        kind,
+        age: Duration::from_millis(300),
+    }
+}
+
 #[test]
 fn member_heartbeat_round_trips() {
     let heartbeat = MemberHeartbeat {
@@ -21,6 +30,12 @@
             digest: Digest::of(b"request"),
             age: Duration::from_millis(900),
         }],
+        notices: vec![
+            notice(NoticeKind::Leaving),
+            notice(NoticeKind::Resting {
+                left: Duration::from_millis(1_500),
+            }),
+        ],
     };
     let mut datagram = BytesMut::new();
 
