End the grace period of vanished entries within the bounds

Each further removal of many entries prolonged the period of all that were missing. The first retry comes after 100 ms, not 200.

--- a/crates/core/tests/forwarding/notices.rs
+++ b/crates/core/tests/forwarding/notices.rs
@@ -192,10 +192,7 @@
     let refused = |retry_after| ForwardAnswer::Refused(ForwardRefusal::Unavailable { retry_after });
     assert_eq!(first, refused(REST));
     assert!(harness.take_sent().is_empty());
-    assert_eq!(
-        harness.take_answer(),
-        refused(Duration::from_secs(1))
-    );
+    assert_eq!(harness.take_answer(), refused(Duration::from_secs(1)));
 }
 
 /// Guards against a search that is sent to the other shards although too few of them can answer, so that the refusal
--- a/crates/node/src/registry_watcher.rs
+++ b/crates/node/src/registry_watcher.rs
@@ -10,8 +10,8 @@
 use std::collections::{BTreeSet, HashSet};
 use tokio::time::Instant;
 
-/// Base of the delays after failed reads. It is doubled before each delay, the first one included.
-const RETRY_DELAY_BASE: Duration = Duration::from_millis(100);
+/// First delay after a failed read; doubled after each further failure.
+const INITIAL_RETRY_DELAY: Duration = Duration::from_millis(100);
 
 /// Longest delay after failed reads.
 const MAX_RETRY_DELAY: Duration = Duration::from_secs(1);
@@ -41,6 +41,9 @@
     pub interval: Duration,
     /// Time after the registry's return within which entries that lapsed during its failure are renewed.
     pub recovery_grace: Duration,
+    /// Time for which entries that vanish together are kept although no read failed. With the interval and the time of
+    /// a read it must stay below the bound for upstreams that are gone.
+    pub lapse_grace: Duration,
 }
 
 /// Follows a registry, and falls back to the snapshots of other nodes while it fails.
@@ -57,10 +60,10 @@
     /// Key of each registered instance's item, by instance.
     entry_keys: HashMap<Arc<str>, Arc<str>>,
     evacuated_zones: BTreeSet<Arc<str>>,
-    /// Instances whose entries disappeared during a failure and may return.
-    missing: HashSet<Arc<str>>,
-    /// End of the grace period, when missing instances are deregistered.
-    grace_until: Instant,
+    /// Instances whose entries disappeared and may return, with the end of each one's grace period.
+    missing: HashMap<Arc<str>, Instant>,
+    /// End of the grace period after the registry's return.
+    recovery_until: Instant,
     /// Revision to watch from; `None` before the first listing and after the history was lost.
     revision: Option<u64>,
     failing: bool,
@@ -84,8 +87,8 @@
             items: watch::Sender::default(),
             entry_keys: HashMap::new(),
             evacuated_zones: BTreeSet::new(),
-            missing: HashSet::new(),
-            grace_until: Instant::now(),
+            missing: HashMap::new(),
+            recovery_until: Instant::now(),
             revision: None,
             failing: false,
         }
@@ -98,11 +101,11 @@
 
     /// Follows the registry for the life of the process.
     pub async fn run(mut self) {
-        let mut retry_delay = RETRY_DELAY_BASE;
+        let mut retry_delay = INITIAL_RETRY_DELAY;
         loop {
             let wait = match self.read_registry().await {
                 Ok(()) => {
-                    retry_delay = RETRY_DELAY_BASE;
+                    retry_delay = INITIAL_RETRY_DELAY;
                     self.poll_interval()
                 }
                 Err(RegistryError::HistoryLost) => {
@@ -115,18 +118,36 @@
                     if let Some(snapshot) = self.ask_contact().await {
                         self.apply_peer_snapshot(snapshot);
                     }
+                    let delay = retry_delay;
                     retry_delay = (retry_delay * 2).min(MAX_RETRY_DELAY);
                     if self.entry_keys.is_empty() {
-                        retry_delay.min(MAX_RETRY_DELAY_BEFORE_FIRST_READ)
+                        delay.min(MAX_RETRY_DELAY_BEFORE_FIRST_READ)
                     } else {
-                        retry_delay
+                        delay
                     }
                 }
             };
-            tokio::time::sleep(wait).await;
+            self.sleep(wait).await;
         }
     }
 
+    /// Waits before the next read. Entries whose grace period ends meanwhile are deregistered at its end, unless the
+    /// registry fails: they may have returned unseen.
+    async fn sleep(&mut self, wait: Duration) {
+        let until = Instant::now() + wait;
+        while let Some(end) = self.next_grace_end().filter(|end| *end < until)
+            && !self.failing
+        {
+            tokio::time::sleep_until(end).await;
+            self.deregister_expired();
+        }
+        tokio::time::sleep_until(until).await;
+    }
+
+    fn next_grace_end(&self) -> Option<Instant> {
+        self.missing.values().copied().min()
+    }
+
     async fn read_registry(&mut self) -> Result<(), RegistryError> {
         match self.revision {
             None if self.entry_keys.is_empty() => self.first_read().await?,
@@ -211,23 +232,23 @@
     }
 
     fn poll_interval(&self) -> Duration {
-        let returning = Instant::now() < self.grace_until;
-        if returning {
+        let may_return = !self.missing.is_empty() || Instant::now() < self.recovery_until;
+        if may_return {
             self.settings.interval.min(RECOVERY_INTERVAL)
         } else {
             self.settings.interval
         }
     }
 
-    /// Wait of the next watch: short after a failure, and no longer than the grace period of missing entries.
+    /// Wait of the next watch: short after a failure, and no longer than the grace period of a missing entry.
     fn watch_wait(&self) -> Duration {
         if self.failing {
             return RECOVERY_PROBE_WAIT;
         }
-        if self.missing.is_empty() {
+        let Some(end) = self.next_grace_end() else {
             return self.settings.max_wait;
-        }
-        let left = self.grace_until.saturating_duration_since(Instant::now());
+        };
+        let left = end.saturating_duration_since(Instant::now());
         left.min(self.settings.max_wait)
     }
 
@@ -244,7 +265,10 @@
         if self.failing {
             info!(self.log, "registry_regained"; "revision" => self.revision);
             self.failing = false;
-            self.grace_until = Instant::now() + self.settings.recovery_grace;
+            self.recovery_until = Instant::now() + self.settings.recovery_grace;
+            for end in self.missing.values_mut() {
+                *end = self.recovery_until.max(*end);
+            }
         }
     }
 
@@ -277,12 +301,10 @@
             .keys()
             .filter(|instance| !seen.contains(*instance));
         let gone: Vec<_> = gone.map(Arc::clone).collect();
-        if self.failing {
-            let missing = gone.iter().filter(|gone| !self.missing.contains(*gone));
-            self.start_grace_on_mass_lapse(missing.count());
-        }
+        let missing = gone.iter().filter(|gone| !self.missing.contains_key(*gone));
+        let grace_until = self.grace_end(missing.count());
         for instance in gone {
-            self.handle_missing_entry(instance);
+            self.handle_missing_entry(instance, grace_until);
         }
         self.items.send_modify(|items| items.retain(&keys));
     }
@@ -296,7 +318,7 @@
             };
             matches!(removed, Some(Removal::UpstreamRemoved(_)))
         };
-        self.start_grace_on_mass_lapse(changes.changes.iter().filter(gone).count());
+        let grace_until = self.grace_end(changes.changes.iter().filter(gone).count());
         for change in changes.changes {
             match change {
                 Change::Written(item) => {
@@ -304,19 +326,26 @@
                         self.apply_write(item, document);
                     }
                 }
-                Change::Removed(key) => self.apply_removal(&key),
+                Change::Removed(key) => self.apply_removal(&key, grace_until),
             }
         }
     }
 
-    /// Starts the grace period if many entries disappear at once. The registry may have failed between two reads, and
-    /// their leases may have expired meanwhile.
-    fn start_grace_on_mass_lapse(&mut self, gone: usize) {
+    /// End of the grace period of entries of which so many disappear in one read. If they are many, the registry may
+    /// have failed between two reads, and their leases may have expired meanwhile.
+    fn grace_end(&self, gone: usize) -> Instant {
         let (count, share) = MASS_LAPSE_THRESHOLD;
-        if gone > count && gone as f64 > share * self.entry_keys.len() as f64 {
-            warn!(self.log, "entries_vanished_together"; "gone" => gone, "known" => self.entry_keys.len());
-            self.grace_until = Instant::now() + self.settings.recovery_grace;
+        if gone <= count || gone as f64 <= share * self.entry_keys.len() as f64 {
+            return self.recovery_until;
         }
+        warn!(self.log, "entries_vanished_together"; "gone" => gone, "known" => self.entry_keys.len());
+        // While reads fail, a peer's snapshot shows what vanished; the registry's return comes after that.
+        let grace = if self.failing {
+            self.settings.recovery_grace
+        } else {
+            self.settings.lapse_grace
+        };
+        self.recovery_until.max(Instant::now() + grace)
     }
 
     fn record_revision(&mut self, revision: u64) {
@@ -325,9 +354,11 @@
             .send_modify(|items| items.record_revision(revision));
     }
 
-    fn apply_removal(&mut self, key: &str) {
+    fn apply_removal(&mut self, key: &str, grace_until: Instant) {
         match self.registry.parse_removal(key) {
-            Some(Removal::UpstreamRemoved(instance)) => self.handle_missing_entry(instance),
+            Some(Removal::UpstreamRemoved(instance)) => {
+                self.handle_missing_entry(instance, grace_until);
+            }
             Some(Removal::ZoneRestored(zone)) => {
                 self.items.send_modify(|items| items.remove(key));
                 let mut zones = self.evacuated_zones.clone();
@@ -364,7 +395,7 @@
             }
             RegistryDocument::UnreadableUpstream { instance, reason } => {
                 warn!(self.log, "entry_unreadable"; "instance" => &*instance, "reason" => reason);
-                self.handle_missing_entry(instance);
+                self.handle_missing_entry(instance, self.recovery_until);
             }
             RegistryDocument::UnreadableConfiguration { reason } => {
                 error!(self.log, "configuration_unreadable"; "reason" => reason);
@@ -373,25 +404,26 @@
     }
 
     /// Deregisters an instance whose entry disappeared, or notes it as missing during the grace period: its lease may
-    /// just have expired while the registry failed.
-    fn handle_missing_entry(&mut self, instance: Arc<str>) {
+    /// just have expired while the registry failed. One that is missing already keeps its grace period.
+    fn handle_missing_entry(&mut self, instance: Arc<str>, grace_until: Instant) {
         let Some(key) = self.entry_keys.get(&instance) else {
             return;
         };
         // Not passed on: a node that takes over the snapshot applies a grace period of its own.
         self.items.send_modify(|items| items.remove(key));
-        if Instant::now() < self.grace_until {
-            self.missing.insert(instance);
-        } else {
+        if Instant::now() < grace_until {
+            self.missing.entry(instance).or_insert(grace_until);
+        } else if !self.missing.contains_key(&instance) {
             self.deregister(&instance);
         }
     }
 
     fn deregister_expired(&mut self) {
-        if Instant::now() < self.grace_until {
-            return;
-        }
-        for instance in std::mem::take(&mut self.missing) {
+        let now = Instant::now();
+        let expired = self.missing.iter().filter(|(_, end)| **end <= now);
+        let expired: Vec<_> = expired.map(|(instance, _)| Arc::clone(instance)).collect();
+        for instance in expired {
+            self.missing.remove(&instance);
             self.deregister(&instance);
         }
     }
