Never refuse a request for overload while an upstream has a free slot

Cause: the check of queues compared the usual reply time alone with the latency objective, so that a route whose upstreams usually take longer was refused; no reply then showed any change, and the node refused the route for good. Ruled out: reported queues; the upstreams were idle. Change: a free slot always passes the check.

--- a/crates/core/src/forward_sends.rs
+++ b/crates/core/src/forward_sends.rs
@@ -230,7 +230,7 @@
                 .filter(|replica| replica.state == ReplicaState::Warm)
                 .peekable();
             warm.peek().is_none()
-                || warm.any(|replica| replica.queue_secs(now, times) <= max_queue_secs)
+                || warm.any(|replica| replica.answers_within(now, times, max_queue_secs))
         });
         fitting.count() as f64 >= min_coverage * shards.len() as f64 - 1e-9
     }
--- a/crates/core/src/replica.rs
+++ b/crates/core/src/replica.rs
@@ -233,10 +233,12 @@
         time + self.remaining_pause_secs(now, times) + failing + advised_against
     }
 
-    /// Time of a request in its queue and in service. Ignores slowness, because a slow upstream with an empty queue is
-    /// not overloaded.
-    pub(crate) fn queue_secs(&self, now: Timestamp, times: &ReplyTimes) -> f64 {
-        times.mean_secs() * (1.0 + self.rounds_ahead(now))
+    /// Whether a request gets through its queue and service within this time, or finds a slot free. Ignores slowness,
+    /// because a slow upstream with an empty queue is not overloaded: refusing its requests would help nobody, and no
+    /// reply would show when it has become faster.
+    pub(crate) fn answers_within(&self, now: Timestamp, times: &ReplyTimes, secs: f64) -> bool {
+        let rounds_ahead = self.rounds_ahead(now);
+        rounds_ahead <= 0.0 || times.mean_secs() * (1.0 + rounds_ahead) <= secs
     }
 
     /// Number of times that all slots are used before a new request gets one.
--- a/crates/core/tests/forwarding/overload.rs
+++ b/crates/core/tests/forwarding/overload.rs
@@ -1,6 +1,8 @@
 //! Refusals under overload: early enough to keep the other answers in time, and none without need.
 
-use crate::forward_harness::{self, LOW, harness, request, route, served_reply, shards_target};
+use crate::forward_harness::{
+    self, LOW, OBJECTIVE, harness, request, route, served_reply, shards_target,
+};
 use medlarpost_core::prelude::*;
 
 /// Reply time of an idle upstream.
@@ -100,3 +102,23 @@
         "both shards are sent an attempt"
     );
 }
+
+/// Guards against a route that is refused for good because its upstreams, though idle, usually take longer than its
+/// objective: no reply could then show that they have become faster.
+#[test]
+fn route_whose_usual_reply_time_exceeds_its_objective_is_not_refused() {
+    let mut harness = harness(vec![route("q", shards_target(2, 1.0))], &["z-a"]);
+    let usual = OBJECTIVE.mul_f64(1.5);
+
+    for number in 0..100 {
+        harness.send_request(request("/q/1"));
+        let sent = harness.take_sent();
+        assert_eq!(sent.len(), 2, "request {number} is refused");
+        harness.advance(usual);
+        for sent in sent {
+            harness.end_attempt(&sent, served_reply(LOW));
+        }
+        harness.take_answers();
+        harness.advance(Duration::from_millis(200));
+    }
+}
