--- a/crates/node/src/key_value_drain.rs
+++ b/crates/node/src/key_value_drain.rs
@@ -11,6 +11,9 @@
     time::{SystemTime, UNIX_EPOCH},
 };
 
+/// Longest value of a pair, in bytes. Values may quote what other programs sent.
+const MAX_VALUE_BYTES: usize = 1_000;
+
 /// Shared by all loggers of the process, as they write to the same output.
 static LIMITER: LogLimiter = LogLimiter::new();
 
@@ -87,7 +90,11 @@
 
 impl Serializer for PairSerializer<'_> {
     fn emit_arguments(&mut self, key: Key, val: &Arguments<'_>) -> slog::Result {
-        let text = val.to_string();
+        let mut text = val.to_string();
+        if text.len() > MAX_VALUE_BYTES {
+            text.truncate(text.floor_char_boundary(MAX_VALUE_BYTES));
+            text.push('…');
+        }
         let plain = !text.is_empty() && !text.contains([' ', '"', '=', '\n']);
         if plain {
             write!(self.0, " {key}={text}")?;
--- a/crates/node/src/registry.rs
+++ b/crates/node/src/registry.rs
@@ -78,6 +78,9 @@
     /// The registry no longer keeps the changes after the revision, so that it must be listed again.
     #[snafu(display("the registry no longer keeps the changes after this revision"))]
     HistoryLost,
+    /// A reply exceeds the size limit. If it was that of a watch, a listing gets the state in pages.
+    #[snafu(display("a reply of the registry exceeds the size limit"))]
+    TooLarge,
     /// The registry did not reply, or it replied with an error that may pass.
     #[snafu(display("registry unavailable: {reason}"))]
     Unavailable {
--- a/crates/node/src/registry_watcher.rs
+++ b/crates/node/src/registry_watcher.rs
@@ -108,8 +108,10 @@
                     retry_delay = INITIAL_RETRY_DELAY;
                     self.poll_interval()
                 }
-                Err(RegistryError::HistoryLost) => {
-                    warn!(self.log, "registry_history_lost"; "revision" => self.revision);
+                Err(fault @ (RegistryError::HistoryLost | RegistryError::TooLarge))
+                    if self.revision.is_some() =>
+                {
+                    warn!(self.log, "registry_history_lost"; "revision" => self.revision, "fault" => %fault);
                     self.revision = None;
                     Duration::ZERO
                 }
--- a/crates/node/tests/log_queue.rs
+++ b/crates/node/tests/log_queue.rs
@@ -1,6 +1,6 @@
 //! A blocked reader of standard output must not block the node: lines are dropped instead, failures last.
 
-use medlarpost_node::log_queue::LogQueue;
+use medlarpost_node::{key_value_drain::queued_logger, log_queue::LogQueue};
 use slog::Level;
 use std::{
     io::Write,
@@ -107,3 +107,18 @@
     assert!(started.elapsed() >= Duration::from_millis(100));
     drop(release);
 }
+
+/// Guards against log lines of any length, because a value quotes what another program sent.
+#[test]
+fn long_values_are_cut() {
+    let output = SlowOutput::default();
+    let queue = LogQueue::start(output.clone()).expect("a thread can be started");
+    let log = queued_logger(Level::Info, queue.clone());
+
+    slog::info!(log, "long_value"; "text" => "é".repeat(1_000_000));
+    queue.flush(Duration::from_secs(30));
+
+    let text = output.text();
+    assert!(text.contains("event=long_value"), "{text}");
+    assert!(text.len() < 1_200, "{} bytes", text.len());
+}
