Stop, reload and fail visibly: the life of a forwarding node

Cause of the first: a drain waited for a moment without a request while it still listened. Under load there is none, so that it went on to the end of its time, where requests that had just been accepted were cut off. Cause of the second: a changed settings file changed neither the watch of the store nor the limits shared by the fleet. Cause of the third: a panic ends its task alone; a node without the forward task, the watcher or the listener looked alive. Ruled out for the first: waiting longer; the platform's SIGKILL is fixed. Change: once the balancer has had its time the node stops listening, takes what the system has opened meanwhile, and answers all it has; reload passes watch settings and limits on; the panic of an essential task ends the process with a line and status 1.

--- a/crates/core/src/forward_event.rs
+++ b/crates/core/src/forward_event.rs
@@ -14,6 +14,8 @@
     UpstreamDeregistered(Arc<str>),
     /// Zones that operators have evacuated, replacing the previous set.
     ZonesEvacuated(BTreeSet<Arc<str>>),
+    /// The limits in the settings have changed.
+    LimitsChanged(FleetLimits),
     /// Number of nodes that share the limits of upstreams, including this one.
     FleetSize(u32),
     /// Another node quarantined a request that crashes upstreams.
--- a/crates/core/src/forwarder.rs
+++ b/crates/core/src/forwarder.rs
@@ -36,6 +36,22 @@
     pub zone: Arc<str>,
     /// Region of each zone.
     pub regions: BTreeMap<Arc<str>, Arc<str>>,
+    /// Limits shared by all nodes.
+    pub limits: FleetLimits,
+    /// Share of the latency objective added to the cost of a replica in another zone, because traffic between zones is
+    /// charged for.
+    pub cross_zone_cost: f64,
+    /// Margin before the deadline for the way of an answer to its caller and for the caller's clock being ahead.
+    pub answer_margin: Duration,
+    /// Number of nodes assumed until the first [`ForwardEvent::FleetSize`].
+    pub initial_fleet_size: u32,
+    /// Seed of the random number generator.
+    pub seed: u64,
+}
+
+/// Limits on the load of upstreams that all nodes keep together.
+#[derive(Clone, Copy, Debug)]
+pub struct FleetLimits {
     /// Extra requests to a service for each primary one, over all nodes.
     pub extra_ratio: f64,
     /// Extra requests to a service in one window beyond `extra_ratio`, over all nodes.
@@ -46,15 +62,6 @@
     pub cold_excess: f64,
     /// Requests beyond `cold_excess` that a cold upstream accepts within one second.
     pub cold_slack: f64,
-    /// Share of the latency objective added to the cost of a replica in another zone, because traffic between zones is
-    /// charged for.
-    pub cross_zone_cost: f64,
-    /// Margin before the deadline for the way of an answer to its caller and for the caller's clock being ahead.
-    pub answer_margin: Duration,
-    /// Number of nodes assumed until the first [`ForwardEvent::FleetSize`].
-    pub initial_fleet_size: u32,
-    /// Seed of the random number generator.
-    pub seed: u64,
 }
 
 impl ForwarderSettings {
@@ -160,6 +167,7 @@
                 self.deregister(now, &instance, commands);
             }
             ForwardEvent::ZonesEvacuated(zones) => self.evacuated_zones = zones,
+            ForwardEvent::LimitsChanged(limits) => self.settings.limits = limits,
             ForwardEvent::FleetSize(size) => self.fleet_size = size.max(1),
             ForwardEvent::QuarantinedElsewhere { digest, age } => {
                 if self.quarantine.quarantine_from_peer(now, digest, age) {
@@ -400,9 +408,10 @@
     /// This node's share of the extra load.
     pub(crate) fn extra_load_limits(&self) -> ExtraLoadLimits {
         ExtraLoadLimits {
-            window: self.settings.extra_window,
-            ratio: self.settings.extra_ratio * EXTRA_RATIO_SHARE,
-            slack: self.settings.extra_slack * EXTRA_SLACK_SHARE / f64::from(self.fleet_size),
+            window: self.settings.limits.extra_window,
+            ratio: self.settings.limits.extra_ratio * EXTRA_RATIO_SHARE,
+            slack: self.settings.limits.extra_slack * EXTRA_SLACK_SHARE
+                / f64::from(self.fleet_size),
         }
     }
 
@@ -417,7 +426,8 @@
         let Some(rate) = settings.cold_rate else {
             return u32::MAX;
         };
-        let all = (rate * self.settings.cold_excess + self.settings.cold_slack) * COLD_RATE_SHARE;
+        let all = (rate * self.settings.limits.cold_excess + self.settings.limits.cold_slack)
+            * COLD_RATE_SHARE;
         (all / f64::from(self.fleet_size)) as u32
     }
 }
--- a/crates/core/src/prelude.rs
+++ b/crates/core/src/prelude.rs
@@ -30,7 +30,7 @@
         ForwardAnswer, ForwardOutcome, ForwardRefusal, ForwardRequest, MergedAnswer, NotRunCause,
         ReportedLoad, UpstreamReply, UpstreamReport,
     },
-    forwarder::{Forwarder, ForwarderSettings},
+    forwarder::{FleetLimits, Forwarder, ForwarderSettings},
     keys::{
         AttemptKey, BookingKey, CallerKey, FlowKey, PeerKey, QueryKey, ServiceKey, TenantKey,
         UpstreamKey,
--- a/crates/core/tests/forwarding/forward_harness.rs
+++ b/crates/core/tests/forwarding/forward_harness.rs
@@ -46,11 +46,13 @@
         regions: [("z-a", "r-1"), ("z-b", "r-1"), ("z-c", "r-2")]
             .map(|(zone, region)| (zone.into(), region.into()))
             .into(),
-        extra_ratio: 0.2,
-        extra_slack: 50.0,
-        extra_window: Duration::from_secs(10),
-        cold_excess: 1.5,
-        cold_slack: 5.0,
+        limits: FleetLimits {
+            extra_ratio: 0.2,
+            extra_slack: 50.0,
+            extra_window: Duration::from_secs(10),
+            cold_excess: 1.5,
+            cold_slack: 5.0,
+        },
         cross_zone_cost: 0.2,
         answer_margin: Duration::from_millis(10),
         initial_fleet_size: 1,
--- a/crates/core/tests/forwarding/give_ups.rs
+++ b/crates/core/tests/forwarding/give_ups.rs
@@ -52,8 +52,11 @@
 #[test]
 fn request_is_given_up_when_the_budget_is_exhausted() {
     let mut harness = Harness::new(ForwarderSettings {
-        extra_ratio: 0.0,
-        extra_slack: 0.0,
+        limits: FleetLimits {
+            extra_ratio: 0.0,
+            extra_slack: 0.0,
+            ..forward_harness::settings().limits
+        },
         ..settings()
     });
     harness.handle(ForwardEvent::Configured(table(
--- a/crates/medlarpost/src/platform_run.rs
+++ b/crates/medlarpost/src/platform_run.rs
@@ -37,13 +37,14 @@
     loop {
         tokio::select! {
             () = &mut stop => break,
+            task = node.failed_task() => return Err(NodeError::TaskFailed { task }),
             () = await_signal(&mut hangup) => match PlatformSettings::read(path) {
                 Ok(settings) => node.reload(&settings.node_settings(seed)),
                 Err(error) => error!(log, "settings_unreadable"; "fault" => %error),
             },
         }
     }
-    node.drain().await;
+    let _all_answered = node.drain().await;
     Ok(())
 }
 
--- a/crates/node/src/caller_connection.rs
+++ b/crates/node/src/caller_connection.rs
@@ -19,6 +19,9 @@
 /// Longest time for writing an answer; a caller that does not read it within this time is disconnected.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Time that an idle connection has at the end of a drain to deliver a request that is on its way.
+const LAST_REQUEST_GRACE: Duration = Duration::from_millis(20);
+
 /// Interim response to a request with `Expect: 100-continue`.
 const CONTINUE_RESPONSE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
 
@@ -147,9 +150,12 @@
     /// Waits for the first byte of a request. Fails once the connection is idle for too long or the node stops.
     async fn await_first_byte(&mut self, idle_timeout: Duration) -> Result<(), ReadError> {
         loop {
-            if *self.parts.phase.borrow() == ListenerPhase::Ending {
-                return Err(ReadError::Closed);
-            }
+            let ending = *self.parts.phase.borrow() == ListenerPhase::Ending;
+            let idle_timeout = if ending {
+                LAST_REQUEST_GRACE
+            } else {
+                idle_timeout
+            };
             tokio::select! {
                 filled = self.stream.fill() => return match filled {
                     Ok(0) | Err(_) => Err(ReadError::Closed),
--- a/crates/node/src/forward_node.rs
+++ b/crates/node/src/forward_node.rs
@@ -28,8 +28,8 @@
 /// Pause after a failed accept, which mostly means that file descriptors have run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
-/// Interval at which a draining node checks for running requests.
-const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
+/// Time for which a node that stops listening still accepts connections that the system has opened meanwhile.
+const BACKLOG_GRACE: Duration = Duration::from_millis(20);
 
 /// Settings of a forwarding node.
 #[derive(Clone, Debug)]
@@ -70,7 +70,10 @@
     forward: ForwardSender,
     phase: watch::Sender<ListenerPhase>,
     ready: watch::Sender<Readiness>,
+    watch_settings: watch::Sender<WatchSettings>,
     open_connections: mpsc::Receiver<std::convert::Infallible>,
+    /// Names of essential tasks that have ended by a panic.
+    failed_tasks: mpsc::UnboundedReceiver<&'static str>,
 }
 
 /// A forwarding node; the type parameter is its phase, [`Bound`] or [`Serving`].
@@ -159,26 +162,29 @@
             ready: ready.clone(),
             announcements,
         };
-        actix_rt::spawn(forward_task::run(parts, forward.clone(), forward_rx));
+        let (failures, failed_tasks) = mpsc::unbounded_channel();
+        let forward_task = forward_task::run(parts, forward.clone(), forward_rx);
+        spawn_essential("forward", forward_task, &failures);
         let membership = Membership::new(settings.membership.clone());
         let (contacts, contacts_rx) = watch::channel(membership.contacts());
+        let (watch_settings, watch_settings_rx) = watch::channel(settings.watch);
         let watcher = RegistryWatcher::new(
             registry,
-            settings.watch,
+            watch_settings_rx,
             forward.clone(),
             contacts_rx,
             log.clone(),
         );
         let snapshots = snapshot_exchange::serve(bound.snapshots, watcher.items(), log.clone());
-        actix_rt::spawn(snapshots);
-        actix_rt::spawn(watcher.run());
+        spawn_essential("snapshots", snapshots, &failures);
+        spawn_essential("registry", watcher.run(), &failures);
         let channels = MemberChannels {
             announcements: announcements_rx,
             forward: forward.clone(),
             contacts,
         };
         let members = member_task::run(bound.members, membership, clock, channels, log.clone());
-        actix_rt::spawn(members);
+        spawn_essential("members", members, &failures);
         let workers = Workers::current_thread();
         let readiness = ReadinessHandler { ready: ready_rx };
         spawn_server(bound.readiness, readiness, &server_phase_rx, &workers, &log);
@@ -197,10 +203,11 @@
         };
         // The readiness and metrics pages are served until the drain ends: their servers stop when this sender is
         // dropped.
-        actix_rt::spawn(async move {
+        let accepting = async move {
             let _kept = server_phase;
             accept_callers(bound.callers, callers, open_connections_tx).await;
-        });
+        };
+        spawn_essential("callers", accepting, &failures);
         info!(log, "node_started"; "callers" => %settings.callers, "zone" => &*settings.forwarder.zone);
         Ok(ForwardNode {
             settings,
@@ -209,18 +216,32 @@
                 forward,
                 phase,
                 ready,
+                watch_settings,
                 open_connections,
+                failed_tasks,
             },
         })
     }
 }
 
 impl ForwardNode<Serving> {
-    /// Applies changed settings. Only the balancer's lag and the stop time can change while a node serves.
+    /// Applies changed settings. Addresses, the zone and the membership can't change while a node serves.
     pub fn reload(&mut self, settings: &ForwardNodeSettings) {
         info!(self.log, "settings_reloaded"; "zone" => &*settings.forwarder.zone);
         self.settings.balancer_lag = settings.balancer_lag;
         self.settings.stop_within = settings.stop_within;
+        self.phase.watch_settings.send_replace(settings.watch);
+        let limits = ForwardEvent::LimitsChanged(settings.forwarder.limits);
+        // The receiver ends only with the process.
+        let _ended = self.phase.forward.send(ForwardMessage::Event(limits));
+    }
+
+    /// Waits until a task that the node can't do without has ended by a panic. Returns its name.
+    pub async fn failed_task(&mut self) -> &'static str {
+        match self.phase.failed_tasks.recv().await {
+            Some(task) => task,
+            None => std::future::pending().await,
+        }
     }
 
     /// State of the forward task, or `None` if it has ended.
@@ -230,30 +251,41 @@
         rx.await.ok()
     }
 
-    /// Stops gracefully: fails the readiness check, keeps serving while the balancer may still send connections, and
-    /// returns once no request runs or `stop_within` is over.
-    pub async fn drain(mut self) {
+    /// Stops gracefully: fails the readiness check, keeps serving while the balancer may still send connections, then
+    /// stops listening and answers the requests that it has. Returns whether all of them were answered before
+    /// `stop_within` was over.
+    pub async fn drain(mut self) -> bool {
         let started = Instant::now();
         info!(self.log, "node_draining"; "stop_within_ms" => self.settings.stop_within.as_millis() as u64);
         self.phase.ready.send_modify(|ready| ready.draining = true);
         self.phase.phase.send_replace(ListenerPhase::Closing);
         let latest = started + self.settings.stop_within;
         tokio::time::sleep_until((started + self.settings.balancer_lag).min(latest)).await;
-        while Instant::now() < latest {
-            let running = self.status().await.map_or(0, |status| status.running);
-            if running == 0 {
-                break;
-            }
-            tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
-        }
+        // Under load there may be no moment without a request, so that waiting for one would end with requests that have
+        // just arrived.
         self.phase.phase.send_replace(ListenerPhase::Ending);
-        // Lets answers that are being written reach their callers.
         let closed = tokio::time::timeout_at(latest, self.phase.open_connections.recv()).await;
         info!(self.log, "node_stopped"; "all_connections_closed" => closed.is_ok(),
             "after_ms" => started.elapsed().as_millis() as u64);
+        closed.is_ok()
     }
 }
 
+/// Runs a task and reports its name if it panics. Without the report a node that has lost such a task would look alive.
+fn spawn_essential(
+    name: &'static str,
+    task: impl Future<Output = ()> + 'static,
+    failures: &mpsc::UnboundedSender<&'static str>,
+) {
+    let failures = failures.clone();
+    actix_rt::spawn(async move {
+        if actix_rt::spawn(task).await.is_err() {
+            // The receiver ends only with the node.
+            let _ended = failures.send(name);
+        }
+    });
+}
+
 fn bind_member_socket(address: SocketAddr) -> Result<tokio::net::UdpSocket, NodeError> {
     let bind = || {
         let socket = std::net::UdpSocket::bind(address)?;
@@ -289,15 +321,15 @@
     open_connections: mpsc::Sender<std::convert::Infallible>,
 ) {
     let mut phase = parts.phase.clone();
+    let mut ending = false;
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            changed = phase.changed() => {
-                if changed.is_err() || *phase.borrow() == ListenerPhase::Ending {
-                    return;
-                }
+            changed = phase.changed(), if !ending => {
+                ending = changed.is_err() || *phase.borrow() == ListenerPhase::Ending;
                 continue;
             }
+            () = tokio::time::sleep(BACKLOG_GRACE), if ending => return,
         };
         match accepted {
             Ok((stream, _)) => {
--- a/crates/node/src/node_error.rs
+++ b/crates/node/src/node_error.rs
@@ -29,6 +29,12 @@
         /// The underlying error.
         source: prometheus::Error,
     },
+    /// A task that the node can't do without has ended by a panic, which standard error describes.
+    #[snafu(display("the task {task} has failed; report this as a bug with the lines before"))]
+    TaskFailed {
+        /// Name of the task.
+        task: &'static str,
+    },
     /// The platform gave no valid reply.
     #[snafu(display(
         "can't read from the platform: {detail}; check --platform and that the platform is running"
--- a/crates/node/src/registry_watcher.rs
+++ b/crates/node/src/registry_watcher.rs
@@ -50,7 +50,8 @@
 #[derive(Debug)]
 pub struct RegistryWatcher<R> {
     registry: R,
-    settings: WatchSettings,
+    /// Read anew before each use, because it can change.
+    settings: watch::Receiver<WatchSettings>,
     forward: ForwardSender,
     log: Logger,
     /// Nodes to ask for a snapshot while the registry fails.
@@ -73,7 +74,7 @@
     /// A watcher that has read nothing yet. `contacts` are nodes to ask for a snapshot while the registry fails.
     pub fn new(
         registry: R,
-        settings: WatchSettings,
+        settings: watch::Receiver<WatchSettings>,
         forward: ForwardSender,
         contacts: watch::Receiver<Vec<SocketAddr>>,
         log: Logger,
@@ -94,6 +95,10 @@
         }
     }
 
+    fn settings(&self) -> WatchSettings {
+        *self.settings.borrow()
+    }
+
     /// Items that this node passes on to others.
     pub(crate) fn items(&self) -> watch::Receiver<KnownItems> {
         self.items.subscribe()
@@ -236,9 +241,9 @@
     fn poll_interval(&self) -> Duration {
         let may_return = !self.missing.is_empty() || Instant::now() < self.recovery_until;
         if may_return {
-            self.settings.interval.min(RECOVERY_INTERVAL)
+            self.settings().interval.min(RECOVERY_INTERVAL)
         } else {
-            self.settings.interval
+            self.settings().interval
         }
     }
 
@@ -248,10 +253,10 @@
             return RECOVERY_PROBE_WAIT;
         }
         let Some(end) = self.next_grace_end() else {
-            return self.settings.max_wait;
+            return self.settings().max_wait;
         };
         let left = end.saturating_duration_since(Instant::now());
-        left.min(self.settings.max_wait)
+        left.min(self.settings().max_wait)
     }
 
     fn record_failure(&mut self, fault: &RegistryError) {
@@ -267,7 +272,7 @@
         if self.failing {
             info!(self.log, "registry_regained"; "revision" => self.revision);
             self.failing = false;
-            self.recovery_until = Instant::now() + self.settings.recovery_grace;
+            self.recovery_until = Instant::now() + self.settings().recovery_grace;
             for end in self.missing.values_mut() {
                 *end = self.recovery_until.max(*end);
             }
@@ -343,9 +348,9 @@
         warn!(self.log, "entries_vanished_together"; "gone" => gone, "known" => self.entry_keys.len());
         // While reads fail, a peer's snapshot shows what vanished; the registry's return comes after that.
         let grace = if self.failing {
-            self.settings.recovery_grace
+            self.settings().recovery_grace
         } else {
-            self.settings.lapse_grace
+            self.settings().lapse_grace
         };
         self.recovery_until.max(Instant::now() + grace)
     }
--- a/crates/node/tests/registry_watch.rs
+++ b/crates/node/tests/registry_watch.rs
@@ -146,7 +146,8 @@
     let (forward, messages) = mpsc::unbounded_channel();
     let (_contacts, contacts) = watch::channel(Vec::new());
     let log = Logger::root(Discard, o!());
-    let watcher = RegistryWatcher::new(registry.clone(), SETTINGS, forward, contacts, log);
+    let (_settings, settings) = watch::channel(SETTINGS);
+    let watcher = RegistryWatcher::new(registry.clone(), settings, forward, contacts, log);
     actix_rt::spawn(watcher.run());
     messages
 }
