--- a/crates/core/src/digest.rs
+++ b/crates/core/src/digest.rs
@@ -1,6 +1,6 @@
 //! SHA-256 digests.
 
-use crate::prelude::*;
+use crate::{hex, prelude::*};
 use serde::{Deserializer, Serializer, de::Error as _};
 use sha2::{Digest as _, Sha256};
 use std::fmt::{self, Display, Formatter};
@@ -17,14 +17,7 @@
 
     /// Parses exactly 64 hexadecimal digits in either case.
     pub fn from_hex(text: &str) -> Option<Self> {
-        if text.len() != 64 || !text.is_ascii() {
-            return None;
-        }
-        let mut bytes = [0; 32];
-        for (i, byte) in bytes.iter_mut().enumerate() {
-            *byte = u8::from_str_radix(&text[2 * i..2 * i + 2], 16).ok()?;
-        }
-        Some(Self(bytes))
+        hex::parse_bytes(text).map(Self)
     }
 }
 
--- a/crates/core/src/forward_command.rs
+++ b/crates/core/src/forward_command.rs
@@ -162,6 +162,8 @@
     UpstreamNoticed {
         /// The notice; its age is zero if the upstream told this node.
         notice: UpstreamNotice,
+        /// Service of the upstream; `None` if it is not registered here.
+        service: Option<Arc<str>>,
         /// Whether another node passed it on.
         from_peer: bool,
     },
--- a/crates/core/src/forward_replies.rs
+++ b/crates/core/src/forward_replies.rs
@@ -98,6 +98,7 @@
             commands.push(ForwardCommand::AnnounceNotice(notice.clone()));
             commands.push(ForwardCommand::Record(ForwardTelemetry::UpstreamNoticed {
                 notice,
+                service: Some(Arc::clone(&replica.entry.service)),
                 from_peer: false,
             }));
         }
--- a/crates/core/src/forwarder.rs
+++ b/crates/core/src/forwarder.rs
@@ -325,18 +325,21 @@
         notice: UpstreamNotice,
         commands: &mut Vec<ForwardCommand>,
     ) {
-        let applies = if let Some(&key) = self.replicas_by_instance.get(&notice.instance) {
-            self.replicas[key].apply_peer_notice(now, &notice)
+        let mut service = None;
+        if let Some(&key) = self.replicas_by_instance.get(&notice.instance) {
+            let replica = &mut self.replicas[key];
+            if !replica.apply_peer_notice(now, &notice) {
+                return;
+            }
+            service = Some(Arc::clone(&replica.entry.service));
         } else {
             self.absent_upstreams.note_peer(now, &notice);
-            true
-        };
-        if applies {
-            commands.push(ForwardCommand::Record(ForwardTelemetry::UpstreamNoticed {
-                notice,
-                from_peer: true,
-            }));
         }
+        commands.push(ForwardCommand::Record(ForwardTelemetry::UpstreamNoticed {
+            notice,
+            service,
+            from_peer: true,
+        }));
     }
 
     /// Reports the end of an upstream's process to the quarantine, and announces the requests that this quarantines.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -69,6 +69,7 @@
 mod forward_flow;
 mod forward_replies;
 mod forward_sends;
+mod hex;
 mod query;
 mod replica;
 mod reply_times;
--- a/crates/core/src/ticket.rs
+++ b/crates/core/src/ticket.rs
@@ -1,6 +1,6 @@
 //! Booking tickets. Each names the node, and the start of its process, that alone may run the booking.
 
-use crate::prelude::*;
+use crate::{hex, prelude::*};
 use hmac::{Hmac, Mac as _};
 use sha2::Sha256;
 use std::{
@@ -54,8 +54,8 @@
             return None;
         }
         let mut fields = text.rsplitn(5, '.');
-        let mac = parse_mac(fields.next()?)?;
-        let mut number = || u64::from_str_radix(fields.next()?, 16).ok();
+        let mac = hex::parse_bytes(fields.next()?)?;
+        let mut number = || hex::parse_number(fields.next()?);
         let (expires, number, start) = (Timestamp::from_micros(number()?), number()?, number()?);
         let node = fields.next().filter(|node| !node.is_empty())?.to_owned();
         Some(Self {
@@ -149,17 +149,6 @@
     }
 }
 
-fn parse_mac(text: &str) -> Option<[u8; MAC_BYTES]> {
-    if text.len() != 2 * MAC_BYTES || !text.is_ascii() {
-        return None;
-    }
-    let mut mac = [0; MAC_BYTES];
-    for (i, byte) in mac.iter_mut().enumerate() {
-        *byte = u8::from_str_radix(&text[2 * i..2 * i + 2], 16).ok()?;
-    }
-    Some(mac)
-}
-
 fn compute_mac(
     key: &[u8; 32],
     node: &str,
--- a/crates/core/tests/charts.rs
+++ b/crates/core/tests/charts.rs
@@ -158,3 +158,29 @@
         "{result:?}"
     );
 }
+
+/// Guards against a node that passes its readiness check after a lapse before it knows which upstreams are warm.
+#[test]
+fn node_is_not_ready_right_after_a_lapse() {
+    let chart = Chart::<NodeMachine>::load().expect("the chart is valid");
+    let mut state = NodeState::Serving;
+    let mut actions = Vec::new();
+
+    for event in [
+        NodeEvent::Lapsed,
+        NodeEvent::Granted,
+        NodeEvent::Unable,
+        NodeEvent::Able,
+    ] {
+        let step = chart.step(state, event, |nothing| match nothing {});
+        state = step.next;
+        actions.push((event, step.actions.to_vec()));
+    }
+
+    assert_eq!(state, NodeState::Serving);
+    let readying = actions
+        .iter()
+        .filter(|(_, actions)| actions.contains(&NodeAction::Ready));
+    let readying: Vec<_> = readying.map(|(event, _)| *event).collect();
+    assert_eq!(readying, [NodeEvent::Able]);
+}
--- a/crates/core/tests/forwarding/give_ups.rs
+++ b/crates/core/tests/forwarding/give_ups.rs
@@ -55,7 +55,7 @@
         limits: FleetLimits {
             extra_ratio: 0.0,
             extra_slack: 0.0,
-            ..forward_harness::settings().limits
+            ..settings().limits
         },
         ..settings()
     });
--- a/crates/core/tests/tickets.rs
+++ b/crates/core/tests/tickets.rs
@@ -166,3 +166,32 @@
         Some((RefusalKind::TicketInvalid, Execution::NotRun))
     );
 }
+
+/// Guards against several texts of one ticket or digest, because number parsers take a sign before the digits.
+#[test]
+fn signs_are_no_hexadecimal_digits() {
+    let mut registry = registry("node-1", 1);
+    let text = registry
+        .issue(Timestamp::ZERO, TENANT)
+        .expect("the registry is not full")
+        .to_string();
+    let signed_number = text.replacen("node-1.1.", "node-1.+1.", 1);
+    let (rest, mac) = text.split_at(text.len() - 32);
+    let signed_mac = format!("{rest}+{}", &mac[1..]);
+    let digest = content().to_string();
+
+    let mut is_invalid = |text: &String| {
+        matches!(
+            registry.redeem(Timestamp::ZERO, text, TENANT, content()),
+            Redemption::Refused(RefusalKind::TicketInvalid, _)
+        )
+    };
+
+    assert!(text.starts_with("node-1.1."), "{text}");
+    assert_eq!(
+        [&signed_number, &signed_mac].map(&mut is_invalid),
+        [true, true]
+    );
+    assert_eq!(Digest::from_hex(&format!("+{}", &digest[1..])), None);
+    assert_eq!(Digest::from_hex(&digest), Some(content()));
+}
--- a/crates/medlarctl/src/bundle_command.rs
+++ b/crates/medlarctl/src/bundle_command.rs
@@ -34,7 +34,7 @@
 fn check(flags: &Check) -> Result<(), CtlError> {
     let bundle = bundle_files::read_text(&flags.bundle)?;
     require_valid(&bundle, flags.previous.as_deref(), flags.nodes)?;
-    println!("no faults; {}", summary(&bundle));
+    outln!("no faults; {}", summary(&bundle));
     Ok(())
 }
 
@@ -51,8 +51,8 @@
     }
     let envelope = Envelope::unsigned(&manifest);
     bundle_files::write_dir(&flags.out, &envelope, &parts)?;
-    println!("{}", summary(&bundle));
-    println!("digest {}", envelope.digest());
+    outln!("{}", summary(&bundle));
+    outln!("digest {}", envelope.digest());
     Ok(())
 }
 
@@ -72,9 +72,9 @@
     let envelope = bundle_files::read_envelope(&flags.dir)?;
     let envelope = envelope.sign(&SigningKey::from_bytes(secret.bytes()));
     bundle_files::write_envelope(&flags.dir, &envelope)?;
-    println!("{}", summary(&bundle));
-    println!("digest {}", envelope.digest());
-    println!("signatures {}", envelope.signatures().len());
+    outln!("{}", summary(&bundle));
+    outln!("digest {}", envelope.digest());
+    outln!("signatures {}", envelope.signatures().len());
     Ok(())
 }
 
@@ -87,8 +87,8 @@
         .and_then(|envelope| envelope.assemble(&parts))
         .context(EnvelopeSnafu)?;
     require_valid(&approved, None, None)?;
-    println!("approved by both owners; {}", summary(&approved));
-    println!("digest {}", approved.digest());
+    outln!("approved by both owners; {}", summary(&approved));
+    outln!("digest {}", approved.digest());
     Ok(())
 }
 
@@ -98,16 +98,16 @@
     let diff = BundleDiff::between(&old, &new);
     if flags.json {
         let text = serde_json::to_string(&diff);
-        println!("{}", text.expect("a bundle diff serializes to JSON"));
+        outln!("{}", text.expect("a bundle diff serializes to JSON"));
     } else {
-        print!("{diff}");
+        out!("{diff}");
     }
     fail_on_errors(&bundle_diff::check_change(&old, &new))
 }
 
 fn show(flags: &Show) -> Result<(), CtlError> {
     let bundle = bundle_files::read_any(&flags.dir)?;
-    print!("{}", bundle.to_toml());
+    out!("{}", bundle.to_toml());
     Ok(())
 }
 
--- a/crates/medlarctl/src/bundle_files.rs
+++ b/crates/medlarctl/src/bundle_files.rs
@@ -1,10 +1,12 @@
 //! Reads and writes bundles: as one TOML file, or as a directory with an envelope and its parts.
 
-use crate::ctl_error::{BundleSyntaxSnafu, CtlError, EnvelopeSnafu, ReadFileSnafu, WriteFileSnafu};
+use crate::{
+    bounded_file,
+    ctl_error::{BundleSyntaxSnafu, CtlError, EnvelopeSnafu, WriteFileSnafu},
+};
 use medlarpost_core::prelude::*;
 use std::{
-    fs::{self, File},
-    io::Read as _,
+    fs,
     path::{Path, PathBuf},
 };
 
@@ -19,7 +21,7 @@
 
 /// Reads a bundle from one TOML file.
 pub(crate) fn read_text(path: &Path) -> Result<Bundle, CtlError> {
-    let bytes = read_bounded(path, MAX_TEXT_BYTES)?;
+    let bytes = bounded_file::read(path, MAX_TEXT_BYTES)?;
     let text = String::from_utf8_lossy(&bytes);
     Bundle::from_toml(&text)
         .map_err(Box::new)
@@ -41,7 +43,7 @@
 
 /// Reads the envelope of a bundle directory, without a check of its signatures.
 pub(crate) fn read_envelope(dir: &Path) -> Result<Envelope<Unverified>, CtlError> {
-    let text = read_bounded(&dir.join(ENVELOPE), Manifest::MAX_BYTES as u64 + 1)?;
+    let text = bounded_file::read(&dir.join(ENVELOPE), Manifest::MAX_BYTES as u64)?;
     Envelope::from_toml(&text).context(EnvelopeSnafu)
 }
 
@@ -56,7 +58,7 @@
         let path = dir.join(PARTS_DIR).join(part.sha256.to_string());
         parts.insert(
             part.sha256,
-            read_bounded(&path, Manifest::MAX_BYTES as u64 + 1)?,
+            bounded_file::read(&path, Manifest::MAX_BYTES as u64)?,
         );
     }
     Ok(parts)
@@ -86,15 +88,6 @@
     write_envelope(dir, envelope)
 }
 
-/// Reads at most `limit` bytes of a file.
-fn read_bounded(path: &Path, limit: u64) -> Result<Vec<u8>, CtlError> {
-    let mut bytes = Vec::new();
-    File::open(path)
-        .and_then(|file| file.take(limit).read_to_end(&mut bytes))
-        .context(ReadFileSnafu { path })?;
-    Ok(bytes)
-}
-
 fn write_file(path: &Path, bytes: &[u8]) -> Result<(), CtlError> {
     fs::write(path, bytes).context(WriteFileSnafu { path })
 }
--- a/crates/medlarctl/src/ctl_error.rs
+++ b/crates/medlarctl/src/ctl_error.rs
@@ -57,6 +57,14 @@
         /// Error of the operating system.
         source: std::io::Error,
     },
+    /// A file is longer than any of its kind.
+    #[snafu(display("{} has more than {limit} bytes; check that it is the right file", path.display()))]
+    FileTooLong {
+        /// Path of the file.
+        path: PathBuf,
+        /// Longest file that is read, in bytes.
+        limit: u64,
+    },
     /// A file can't be written.
     #[snafu(display("can't write {}: {source}; check the path, which must not exist yet for a secret", path.display()))]
     WriteFile {
--- a/crates/medlarctl/src/demo_command.rs
+++ b/crates/medlarctl/src/demo_command.rs
@@ -38,9 +38,9 @@
     }
     let report = run_demo(if flags.baseline { &baseline } else { &options })?;
     if flags.json {
-        println!("{}", report.to_json());
+        outln!("{}", report.to_json());
     } else {
-        print!("{report}");
+        out!("{report}");
     }
     if flags.baseline {
         return Ok(());
@@ -59,11 +59,11 @@
 }
 
 fn print_comparison(adaptive: &DemoReport, baseline: &DemoReport) {
-    println!("{:32} {:>20} {:>20}", "", "policy", "baseline");
+    outln!("{:32} {:>20} {:>20}", "", "policy", "baseline");
     for (name, value) in adaptive.to_json().as_object().into_iter().flatten() {
         let other = &baseline.to_json()[name];
         if !value.is_object() {
-            println!(
+            outln!(
                 "{name:32} {:>20} {:>20}",
                 value.to_string(),
                 other.to_string()
--- a/crates/medlarctl/src/explain_command.rs
+++ b/crates/medlarctl/src/explain_command.rs
@@ -23,7 +23,7 @@
             .read_to_string(&mut text)
             .context(ReadFileSnafu { path })?;
     }
-    print!("{}", explain(&text, &flags.id));
+    out!("{}", explain(&text, &flags.id));
     Ok(())
 }
 
@@ -65,7 +65,7 @@
             (from - LOOK_BACK_SECONDS..=until).contains(&at_seconds) && field(line, "node") == node;
         is_near
             && match field(line, "event") {
-                Some("upstream_changed") => {
+                Some("upstream_changed" | "upstream_notice") => {
                     field(line, "service").is_some_and(|s| services.contains(s))
                 }
                 Some(
@@ -74,6 +74,7 @@
                     | "registry_lost"
                     | "registry_regained"
                     | "fleet_size_changed"
+                    | "reply_ended"
                     | "node_draining"
                     | "log_lines_dropped",
                 ) => true,
--- a/crates/medlarctl/src/fake_commands.rs
+++ b/crates/medlarctl/src/fake_commands.rs
@@ -17,9 +17,9 @@
     actix_rt::System::new().block_on(async {
         let workers = Workers::start(WORKER_THREADS);
         let platform = FakePlatform::start(address, workers).context(ListenSnafu)?;
-        println!("address={}", platform.address());
+        outln!("address={}", platform.address());
         PlatformDirectory::new(Path::new(&flags.directory))
-            .publish_changes(&platform, |event| println!("{event}"))
+            .publish_changes(&platform, |event| outln!("{event}"))
             .await;
         Ok(())
     })
@@ -38,9 +38,9 @@
         let workers = Workers::start(WORKER_THREADS);
         let upstream = FakeUpstream::start(&flags.name, address, behaviour, recorder, workers)
             .context(ListenSnafu)?;
-        println!("address={}", upstream.address());
+        outln!("address={}", upstream.address());
         while let Some(recorded) = events.recv().await {
-            println!("upstream={} {:?}", recorded.upstream, recorded.event);
+            outln!("upstream={} {:?}", recorded.upstream, recorded.event);
         }
         Ok(())
     })
--- a/crates/medlarctl/src/keys_command.rs
+++ b/crates/medlarctl/src/keys_command.rs
@@ -36,8 +36,8 @@
 ) -> Result<(), CtlError> {
     match out {
         Some(path) => secret.write(path)?,
-        None => println!("secret {}", secret.to_hex()),
+        None => outln!("secret {}", secret.to_hex()),
     }
-    println!("{name} {public}");
+    outln!("{name} {public}");
     Ok(())
 }
--- a/crates/medlarctl/src/lib.rs
+++ b/crates/medlarctl/src/lib.rs
@@ -1,6 +1,10 @@
 //! Implementation of `medlarctl`, the program for operators and testers: bundles, keys, status, load, the
 //! demonstration, the soak and the fakes.
 
+// First, because the macros that it defines are used by the other modules.
+#[macro_use]
+mod output;
+
 pub mod answer_check;
 pub mod invariant_violations;
 pub mod observation;
@@ -12,6 +16,7 @@
 
 mod balancer;
 mod booking_load;
+mod bounded_file;
 mod bundle_command;
 mod bundle_files;
 mod caller;
--- a/crates/medlarctl/src/load_command.rs
+++ b/crates/medlarctl/src/load_command.rs
@@ -34,9 +34,9 @@
     let report =
         actix_rt::System::new().block_on(generate_load(&options, flags.roots.as_deref()))?;
     if flags.json {
-        println!("{}", report.to_json());
+        outln!("{}", report.to_json());
     } else {
-        print!("{report}");
+        out!("{report}");
     }
     Ok(())
 }
--- a/crates/medlarctl/src/run.rs
+++ b/crates/medlarctl/src/run.rs
@@ -48,6 +48,6 @@
         duration: Duration::from_secs(flags.seconds.unwrap_or(10)),
         changes: flags.changes.unwrap_or(20),
     };
-    print!("{}", measure_control::run(options)?);
+    out!("{}", measure_control::run(options)?);
     Ok(())
 }
--- a/crates/medlarctl/src/secret.rs
+++ b/crates/medlarctl/src/secret.rs
@@ -1,20 +1,16 @@
 //! Generates secrets from the system's random source, and reads and writes files that hold them.
 
-use crate::ctl_error::{
-    CtlError, InvalidValueSnafu, RandomSourceSnafu, ReadFileSnafu, WriteFileSnafu,
+use crate::{
+    bounded_file,
+    ctl_error::{CtlError, InvalidValueSnafu, RandomSourceSnafu, ReadFileSnafu, WriteFileSnafu},
 };
 use medlarpost_core::prelude::*;
-use std::{
-    fs::{File, OpenOptions},
-    io::{Read as _, Write as _},
-    os::unix::fs::OpenOptionsExt as _,
-    path::Path,
-};
+use std::{fs::OpenOptions, io::Write as _, os::unix::fs::OpenOptionsExt as _, path::Path};
 
-/// Longest prefix that is read of a file with a secret.
+/// Longest file with a secret, in bytes.
 const MAX_SECRET_BYTES: u64 = 4_096;
 
-/// Longest prefix that is read of a file with certificates or tenants.
+/// Longest file with certificates or tenants, in bytes.
 const MAX_TEXT_BYTES: u64 = 1_000_000;
 
 /// 32 secret bytes: a key or a token. The `Debug` form does not show them.
@@ -68,18 +64,16 @@
 
 /// Reads a secret from a file, without the whitespace around it.
 pub(crate) fn read_text(path: &Path) -> Result<String, CtlError> {
-    read_bounded(path, MAX_SECRET_BYTES)
+    read_trimmed(path, MAX_SECRET_BYTES)
 }
 
 /// Reads a longer text, such as certificates or the tokens of many tenants, without the whitespace around it.
 pub(crate) fn read_long_text(path: &Path) -> Result<String, CtlError> {
-    read_bounded(path, MAX_TEXT_BYTES)
+    read_trimmed(path, MAX_TEXT_BYTES)
 }
 
-fn read_bounded(path: &Path, limit: u64) -> Result<String, CtlError> {
-    let mut text = String::new();
-    File::open(path)
-        .and_then(|file| file.take(limit).read_to_string(&mut text))
-        .context(ReadFileSnafu { path })?;
-    Ok(text.trim().to_owned())
+fn read_trimmed(path: &Path, limit: u64) -> Result<String, CtlError> {
+    let bytes = bounded_file::read(path, limit)?;
+    let text = String::from_utf8(bytes).map_err(std::io::Error::other);
+    Ok(text.context(ReadFileSnafu { path })?.trim().to_owned())
 }
--- a/crates/medlarctl/src/soak_command.rs
+++ b/crates/medlarctl/src/soak_command.rs
@@ -52,9 +52,9 @@
             .block_on(soak_run::run(options))
             .context(SoakSnafu)?;
         if flags.json {
-            println!("{}", report.to_json());
+            outln!("{}", report.to_json());
         } else {
-            print!("{report}");
+            out!("{report}");
         }
         // Readers follow the reports while later seeds run.
         let _closed = std::io::stdout().flush();
@@ -154,7 +154,7 @@
         actix_rt::spawn(async move {
             while let Some(run) = rx.recv().await {
                 match serde_json::to_string(&RunReport::of(&instance, &run)) {
-                    Ok(line) => println!("{line}"),
+                    Ok(line) => outln!("{line}"),
                     Err(error) => eprintln!("error: {error}"),
                 }
             }
--- a/crates/medlarctl/src/soak_fleet.rs
+++ b/crates/medlarctl/src/soak_fleet.rs
@@ -483,10 +483,7 @@
             self.history.zones_out.push((zone.to_owned(), span));
             return;
         }
-        let now = monotonic_micros();
-        for (_, span) in &mut self.history.zones_out {
-            span.until.get_or_insert(now);
-        }
+        self.history.end_zone_out(zone, monotonic_micros());
         self.send_store_command(&StoreCommand::Remove(key)).await;
     }
 }
--- a/crates/medlarctl/src/soak_history.rs
+++ b/crates/medlarctl/src/soak_history.rs
@@ -94,6 +94,14 @@
 }
 
 impl SoakHistory {
+    /// Records that a zone is back in service. Other zones may still be out.
+    pub fn end_zone_out(&mut self, zone: &str, now: SoakTime) {
+        let spans = self.zones_out.iter_mut().filter(|(out, _)| out == zone);
+        for (_, span) in spans {
+            span.until.get_or_insert(now);
+        }
+    }
+
     /// Whether neither the node nor the store was disturbed for the contact time before `at`.
     pub fn has_store_contact(&self, bounds: &SoakBounds, node: usize, at: SoakTime) -> bool {
         self.has_store_contact_between(node, at.saturating_sub(bounds.store_contact), at)
--- a/crates/medlarctl/src/status_command.rs
+++ b/crates/medlarctl/src/status_command.rs
@@ -41,7 +41,7 @@
         flags.roots.as_deref(),
     ))?;
     if flags.json {
-        println!("{}", String::from_utf8_lossy(&body));
+        outln!("{}", String::from_utf8_lossy(&body));
         return Ok(());
     }
     let status: StatusReply = serde_json::from_slice(&body).map_err(|error| {
@@ -50,7 +50,7 @@
         );
         CtlError::NodeResponse { address, detail }
     })?;
-    print!("{}", render(&status));
+    out!("{}", render(&status));
     Ok(())
 }
 
--- a/crates/medlarctl/tests/bundle_commands.rs
+++ b/crates/medlarctl/tests/bundle_commands.rs
@@ -214,3 +214,42 @@
     assert!(!stderr(&bad_key).contains("not-a-key-but-secret"));
     assert_eq!(unknown.status.code(), Some(2));
 }
+
+/// Guards against a file that is cut without a word, so that another one than the file's content is used.
+#[test]
+fn file_that_is_too_long_is_refused() {
+    let dir = tempfile::tempdir().expect("a temporary directory can be made");
+    let token = dir.path().join("admin.token");
+    std::fs::write(&token, "t".repeat(5_000)).expect("the file can be written");
+
+    let output = medlarctl(&[
+        "status",
+        "--address",
+        "127.0.0.1:1",
+        "--token-file",
+        as_str(&token),
+    ]);
+
+    assert_eq!(output.status.code(), Some(1));
+    let printed = stderr(&output);
+    assert!(printed.contains("4096"), "{printed}");
+    assert!(printed.contains("admin.token"), "{printed}");
+}
+
+/// Guards against a panic when the reader of the output has read enough, as in `medlarctl ... | head`.
+#[test]
+fn closed_pipe_ends_the_output_quietly() {
+    let example = example("tunelix.toml");
+    let mut child = Command::new(env!("CARGO_BIN_EXE_medlarctl"))
+        .args(["bundle", "show", as_str(&example)])
+        .stdout(std::process::Stdio::piped())
+        .stderr(std::process::Stdio::piped())
+        .spawn()
+        .expect("medlarctl runs");
+
+    drop(child.stdout.take());
+
+    let output = child.wait_with_output().expect("medlarctl ends");
+    assert_eq!(stderr(&output), "");
+    assert!(output.status.success());
+}
--- a/crates/medlarctl/tests/soak.rs
+++ b/crates/medlarctl/tests/soak.rs
@@ -29,8 +29,20 @@
     command
 }
 
-/// Path of the node's program; a build of the whole workspace puts it beside the program under test.
+/// Path of the node's program. It is built here, because the tests of this package alone don't build it.
 fn node_program() -> PathBuf {
+    let profile = if cfg!(debug_assertions) {
+        "dev"
+    } else {
+        "release"
+    };
+    let built = Command::new(env!("CARGO"))
+        .args(["build", "--quiet", "--locked", "--package", "medlarpost"])
+        .args(["--profile", profile])
+        .current_dir(env!("CARGO_MANIFEST_DIR"))
+        .status()
+        .expect("cargo runs");
+    assert!(built.success(), "the node can't be built");
     PathBuf::from(env!("CARGO_BIN_EXE_medlarctl")).with_file_name("medlarpost")
 }
 
--- a/crates/medlarctl/tests/soak_checks.rs
+++ b/crates/medlarctl/tests/soak_checks.rs
@@ -414,3 +414,19 @@
 
     assert_eq!(violations(&history, observations), [Invariant::Recovered]);
 }
+
+/// Guards against work in a zone that goes unseen, because the return of another zone ended its time out as well.
+#[test]
+fn return_of_a_zone_ends_only_its_own_time_out() {
+    let mut history = history();
+    let out = TimeSpan {
+        from: SECOND,
+        until: None,
+    };
+    history.zones_out = vec![("z-a".to_owned(), out), ("z-b".to_owned(), out)];
+
+    history.end_zone_out("z-b", 2 * SECOND);
+
+    let ends = history.zones_out.iter().map(|(_, span)| span.until);
+    assert_eq!(ends.collect::<Vec<_>>(), [None, Some(2 * SECOND)]);
+}
--- a/crates/node/src/forward_log.rs
+++ b/crates/node/src/forward_log.rs
@@ -89,12 +89,17 @@
         } => info!(log, "upstream_changed"; "instance" => &**instance, "service" => &**service,
             "from" => from.name(), "to" => to.name(), "cause" => cause.name(),
             "silent_ms" => silent_for.as_millis() as u64),
-        ForwardTelemetry::UpstreamNoticed { notice, from_peer } => {
+        ForwardTelemetry::UpstreamNoticed {
+            notice,
+            service,
+            from_peer,
+        } => {
             let left = match notice.kind {
                 NoticeKind::Leaving => None,
                 NoticeKind::Resting { left } => Some(left.as_millis() as u64),
             };
-            info!(log, "upstream_notice"; "instance" => &*notice.instance, "kind" => notice.kind.name(),
+            info!(log, "upstream_notice"; "instance" => &*notice.instance,
+                "service" => service.as_deref().unwrap_or("none"), "kind" => notice.kind.name(),
                 "left_ms" => left, "told" => *from_peer, "age_ms" => notice.age.as_millis() as u64);
         }
         ForwardTelemetry::ConfigurationApplied { version, routes } => {
--- a/crates/node/src/forward_metrics.rs
+++ b/crates/node/src/forward_metrics.rs
@@ -91,7 +91,9 @@
             ForwardTelemetry::RefusedResting { .. } => {
                 self.given_up.with_label_values(&["resting"]).inc();
             }
-            ForwardTelemetry::UpstreamNoticed { notice, from_peer } => {
+            ForwardTelemetry::UpstreamNoticed {
+                notice, from_peer, ..
+            } => {
                 let source = if *from_peer { "node" } else { "upstream" };
                 self.notices
                     .with_label_values(&[notice.kind.name(), source])
--- a/crates/node/tests/failed_task.rs
+++ b/crates/node/tests/failed_task.rs
@@ -1,7 +1,6 @@
 //! Guards against a node that looks alive although a task that it can't do without has ended by a panic.
 
 use actix_http::{RequestHead, ResponseHead, StatusCode};
-use bytes::Bytes;
 use medlarpost_node::{
     dialect::{Dialect, HttpAnswer, RequestError},
     forward_node::{ForwardNode, ForwardNodeSettings},
