--- a/crates/core/src/upstream_member.rs
+++ b/crates/core/src/upstream_member.rs
@@ -60,7 +60,7 @@
     /// Records the end of an attempt.
     pub(crate) fn record_end(&mut self, now: Timestamp, outcome: &Outcome) {
         self.in_flight = self.in_flight.saturating_sub(1);
-        if matches!(outcome, Outcome::Silent) {
+        if matches!(outcome, Outcome::Silent | Outcome::Broken) {
             self.unconfirmed.retain(|until| *until > now);
             self.unconfirmed.push(now + CANCEL_LAG);
         }
--- a/crates/node/src/upstream_task.rs
+++ b/crates/node/src/upstream_task.rs
@@ -195,12 +195,7 @@
         );
         self.connections[key].state = step.next;
         if step.actions.contains(&ConnectionAction::CancelUpstream) {
-            let id = upstream_http::attempt_id(&self.parts.node, attempt);
-            actix_rt::spawn(upstream_http::request_cancellation(
-                self.side_client.clone(),
-                self.parts.spec.clone(),
-                id,
-            ));
+            self.request_cancellation(attempt);
             let grace = self.parts.clock.now() + CANCEL_GRACE;
             let _ended = self.connections[key]
                 .tx
@@ -208,6 +203,12 @@
         }
     }
 
+    fn request_cancellation(&self, attempt: AttemptKey) {
+        let id = upstream_http::attempt_id(&self.parts.node, attempt);
+        let (client, spec) = (self.side_client.clone(), self.parts.spec.clone());
+        actix_rt::spawn(upstream_http::request_cancellation(client, spec, id));
+    }
+
     fn probe_health(&self) {
         let (client, spec) = (self.side_client.clone(), self.parts.spec.clone());
         let (engine, upstream) = (self.parts.engine.clone(), self.parts.upstream);
@@ -225,6 +226,10 @@
             Outcome::Broken | Outcome::NotSent => ConnectionEvent::Broken,
             _ => ConnectionEvent::Replied,
         };
+        if matches!(result.outcome, Outcome::Silent) {
+            // An upstream may go on with a request whose connection has closed.
+            self.request_cancellation(result.attempt);
+        }
         let key = result.connection;
         if self.connections.contains_key(key) {
             self.handle_connection_event(key, event, Some(result)).await;
