Send no date to upstreams

Cause: the codec adds a date of 37 bytes to the head of each request, a fifth of it; a search has one request for each shard, most of them to another zone on the large site. Ruled out: a setting of the codec; it has none. Change: the date is removed from the encoded head.

--- a/crates/node/src/upstream_connection.rs
+++ b/crates/node/src/upstream_connection.rs
@@ -13,6 +13,7 @@
     body::BodySize,
     h1::{ClientCodec, Message},
 };
+use bytes::BytesMut;
 use slotmap::new_key_type;
 use tokio::{net::TcpStream, time::Instant};
 use tokio_util::codec::Encoder as _;
@@ -264,6 +265,7 @@
         };
         let out = &mut stream.output;
         let mut encoded = codec.encode(Message::Item((head.into(), size)), out);
+        remove_date(out);
         if !body.is_empty() {
             encoded = encoded
                 .and_then(|()| codec.encode(Message::Chunk(Some(body.clone())), out))
@@ -293,3 +295,24 @@
         let _ended = self.parts.forward.send(ForwardMessage::Connection(report));
     }
 }
+
+/// Removes the date that the codec adds to each head. Requests need none, and a search has one request for each shard.
+fn remove_date(output: &mut BytesMut) {
+    const FIELD: &[u8] = b"\r\ndate: ";
+    let head_end = find(output, b"\r\n\r\n").unwrap_or(output.len());
+    let Some(start) = find(&output[..head_end], FIELD) else {
+        return;
+    };
+    let value = start + FIELD.len();
+    let end = find(&output[value..], b"\r\n").map_or(output.len(), |length| value + length);
+    let rest = output.split_off(end);
+    output.truncate(start);
+    output.unsplit(rest);
+}
+
+/// Position of the first occurrence of `pattern`.
+fn find(bytes: &[u8], pattern: &[u8]) -> Option<usize> {
+    bytes
+        .windows(pattern.len())
+        .position(|window| window == pattern)
+}
