List fewer members in the heartbeats of a stable fleet

Ruled out: fewer heartbeats; they also carry notices and find a partition's other side. Change: once no new member has appeared for 10 s, a heartbeat lists a tenth of the fleet, at least 8. Joining nodes, and all while new members appear, still get 64.

--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -5,9 +5,16 @@
 use crate::prelude::*;
 use std::net::SocketAddr;
 
-/// Most members listed in one heartbeat.
+/// Most members listed in one heartbeat. A node that joins or still finds new members gets as many.
 const MAX_MEMBERS_PER_HEARTBEAT: usize = 64;
 
+/// Fewest members listed in a heartbeat of a stable fleet.
+const MIN_MEMBERS_PER_HEARTBEAT: usize = 8;
+
+/// Share of a stable fleet that a heartbeat lists. With three heartbeats a second each member is seen several times in
+/// [`MAX_GOSSIP_AGE`], and most of a node's control traffic is these lists.
+const STABLE_LIST_DIVISOR: usize = 10;
+
 /// Most quarantined requests listed in one heartbeat, the latest first.
 pub const MAX_QUARANTINED_PER_HEARTBEAT: usize = 8;
 
@@ -247,7 +254,21 @@
         }
         heartbeat
             .answer_wanted
-            .then(|| self.build_heartbeat(now, false))
+            .then(|| self.build_heartbeat(now, false, MAX_MEMBERS_PER_HEARTBEAT))
+    }
+
+    /// Members to list in the next round of heartbeats.
+    fn list_length(&self, now: Timestamp) -> usize {
+        if self.is_stable(now) {
+            let share = self.members.len() / STABLE_LIST_DIVISOR;
+            share.clamp(MIN_MEMBERS_PER_HEARTBEAT, MAX_MEMBERS_PER_HEARTBEAT)
+        } else {
+            MAX_MEMBERS_PER_HEARTBEAT
+        }
+    }
+
+    fn is_stable(&self, now: Timestamp) -> bool {
+        now.since(self.last_growth) >= STABLE_AFTER
     }
 
     /// Returns the heartbeat of the next round and where it goes: to random members and a random seed, or to all seeds
@@ -258,8 +279,7 @@
         let mut targets: Vec<SocketAddr> = self.members.keys().copied().collect();
         self.random.shuffle(&mut targets);
         let (while_growing, when_stable) = FAN_OUT;
-        let is_stable = now.since(self.last_growth) >= STABLE_AFTER;
-        targets.truncate(if is_stable {
+        targets.truncate(if self.is_stable(now) {
             when_stable
         } else {
             while_growing
@@ -276,10 +296,16 @@
                 targets.push(seed);
             }
         }
-        (targets, self.build_heartbeat(now, alone))
+        let list_length = self.list_length(now);
+        (targets, self.build_heartbeat(now, alone, list_length))
     }
 
-    fn build_heartbeat(&mut self, now: Timestamp, answer_wanted: bool) -> MemberHeartbeat {
+    fn build_heartbeat(
+        &mut self,
+        now: Timestamp,
+        answer_wanted: bool,
+        list_length: usize,
+    ) -> MemberHeartbeat {
         let mut known_members: Vec<_> = self
             .members
             .iter()
@@ -291,7 +317,7 @@
             .collect();
         // Selecting by age would make all nodes list the same few members, so that a large fleet would never be known.
         self.random.shuffle(&mut known_members);
-        known_members.truncate(MAX_MEMBERS_PER_HEARTBEAT);
+        known_members.truncate(list_length);
         let quarantined = self
             .quarantined
             .iter()
--- a/crates/core/tests/membership.rs
+++ b/crates/core/tests/membership.rs
@@ -203,3 +203,54 @@
         )
     );
 }
+
+/// Guards against control traffic that grows with the square of the fleet, and against members that are forgotten
+/// because heartbeats list too few of them.
+#[test]
+fn stable_fleet_lists_few_members_and_forgets_none() {
+    for count in [5, 118] {
+        let mut nodes: Vec<_> = (0..count).map(|number| node(number, &[0, 1, 2])).collect();
+        for second in 0..30 {
+            exchange_heartbeats(&mut nodes, Timestamp::from_millis(second * 1_000), |_| true);
+        }
+        let mut smallest = u32::MAX;
+        let mut longest_list = 0;
+
+        for second in 30..120 {
+            let now = Timestamp::from_millis(second * 1_000);
+            exchange_heartbeats(&mut nodes, now, |_| true);
+            let sizes = nodes.iter_mut().map(|node| node.fleet_size(now)).min();
+            smallest = smallest.min(sizes.unwrap_or_default());
+            let (_, heartbeat) = nodes[3].next_heartbeat(now);
+            longest_list = longest_list.max(heartbeat.known_members.len());
+        }
+
+        assert_eq!(smallest, count as u32);
+        assert!(
+            longest_list <= (count / 10).max(8),
+            "{longest_list} of {count}"
+        );
+    }
+}
+
+/// Guards against a node that joins a stable fleet and learns of the others only a few at a time.
+#[test]
+fn joining_node_gets_a_long_list() {
+    let mut nodes: Vec<_> = (0..60).map(|number| node(number, &[0])).collect();
+    for second in 0..30 {
+        exchange_heartbeats(&mut nodes, Timestamp::from_millis(second * 1_000), |_| true);
+    }
+    let now = Timestamp::from_millis(30_000);
+    let mut joining = node(60, &[0]);
+
+    let (_, heartbeat) = joining.next_heartbeat(now);
+    let answer = nodes[0]
+        .handle_heartbeat(now, &heartbeat)
+        .expect("the joining node asks for an answer");
+
+    assert!(
+        answer.known_members.len() >= 50,
+        "{}",
+        answer.known_members.len()
+    );
+}
