Stop listening at a fixed time at the end of a drain

Cause: the time in which a stopping node takes what the system has opened meanwhile began anew with each connection, so that it listened on as long as callers kept connecting. Ruled out: closing the listener at once; connections that the system has opened would be reset. Change: the 20 ms count from the end of the drain's first part.

--- a/crates/node/src/forward_node.rs
+++ b/crates/node/src/forward_node.rs
@@ -321,15 +321,18 @@
     open_connections: mpsc::Sender<std::convert::Infallible>,
 ) {
     let mut phase = parts.phase.clone();
-    let mut ending = false;
+    let mut end = None;
     loop {
         let accepted = tokio::select! {
+            biased;
+            () = sleep_until_some(end) => return,
             accepted = listener.accept() => accepted,
-            changed = phase.changed(), if !ending => {
-                ending = changed.is_err() || *phase.borrow() == ListenerPhase::Ending;
+            changed = phase.changed(), if end.is_none() => {
+                if changed.is_err() || *phase.borrow() == ListenerPhase::Ending {
+                    end = Some(Instant::now() + BACKLOG_GRACE);
+                }
                 continue;
             }
-            () = tokio::time::sleep(BACKLOG_GRACE), if ending => return,
         };
         match accepted {
             Ok((stream, _)) => {
@@ -347,6 +350,14 @@
     }
 }
 
+/// Waits until a time; forever without one.
+async fn sleep_until_some(at: Option<Instant>) {
+    match at {
+        Some(at) => tokio::time::sleep_until(at).await,
+        None => std::future::pending().await,
+    }
+}
+
 fn spawn_server<H: Handler>(
     listener: std::net::TcpListener,
     handler: H,
