--- a/crates/node/tests/registry_watch.rs
+++ b/crates/node/tests/registry_watch.rs
@@ -152,6 +152,13 @@
     messages
 }
 
+/// Starts a watcher of the registry, and lets it read the entries and the grace period of a start pass.
+async fn start_settled_watcher(registry: &FakeRegistry) -> mpsc::UnboundedReceiver<ForwardMessage> {
+    let mut messages = start_watcher(registry);
+    deregistered_within(&mut messages, Duration::from_secs(5)).await;
+    messages
+}
+
 /// Instances deregistered within this time, each with the time at which it was.
 async fn deregistered_within(
     messages: &mut mpsc::UnboundedReceiver<ForwardMessage>,
@@ -172,8 +179,7 @@
 #[actix_rt::test]
 async fn entries_that_vanish_together_are_gone_within_the_bound() {
     let registry = FakeRegistry::with_instances(20);
-    let mut messages = start_watcher(&registry);
-    deregistered_within(&mut messages, Duration::from_secs(5)).await;
+    let mut messages = start_settled_watcher(&registry).await;
     let removed = Instant::now();
     for number in 0..8 {
         registry.remove(&format!("i-{number}"));
@@ -196,8 +202,7 @@
 #[actix_rt::test]
 async fn later_removals_do_not_prolong_a_grace_period() {
     let registry = FakeRegistry::with_instances(40);
-    let mut messages = start_watcher(&registry);
-    deregistered_within(&mut messages, Duration::from_secs(5)).await;
+    let mut messages = start_settled_watcher(&registry).await;
     let removed = Instant::now();
     for number in 0..8 {
         registry.remove(&format!("i-{number}"));
@@ -230,8 +235,7 @@
 #[actix_rt::test]
 async fn entries_that_return_in_time_are_kept() {
     let registry = FakeRegistry::with_instances(20);
-    let mut messages = start_watcher(&registry);
-    deregistered_within(&mut messages, Duration::from_secs(5)).await;
+    let mut messages = start_settled_watcher(&registry).await;
     for number in 0..8 {
         registry.remove(&format!("i-{number}"));
     }
@@ -249,8 +253,7 @@
 #[actix_rt::test]
 async fn first_retry_follows_the_failure_after_100_ms() {
     let registry = FakeRegistry::with_instances(3);
-    let mut messages = start_watcher(&registry);
-    deregistered_within(&mut messages, Duration::from_secs(5)).await;
+    let mut messages = start_settled_watcher(&registry).await;
 
     registry.set_failing(true);
     deregistered_within(&mut messages, Duration::from_secs(5)).await;
