--- a/review/lab.rs
+++ b/review/lab.rs
@@ -67,6 +67,12 @@
     history: Vec<(u64, String, Option<Vec<u8>>)>,
     /// Waits of a watch that are longer than this are cut: the connection is closed without an answer.
     watch_cut: Option<Duration>,
+    /// Connections that were opened in an earlier epoch are silent: they stay open and nothing is answered on them.
+    epoch: u32,
+    /// Whether the next watch that arrives starts a new epoch.
+    silence_due: bool,
+    /// When the last epoch began.
+    silent_since: Option<Instant>,
 }
 
 impl Store {
@@ -91,6 +97,36 @@
         self.write(key, Some(value.as_bytes().to_vec()));
     }
 
+    /// Makes all open connections silent for good at the moment at which the next watch arrives; new ones work. Returns
+    /// that moment.
+    pub fn silence_connections(&self) -> Instant {
+        self.contents
+            .0
+            .lock()
+            .expect("no writer panics")
+            .silence_due = true;
+        loop {
+            thread::sleep(Duration::from_millis(2));
+            let contents = self.contents.0.lock().expect("no writer panics");
+            if let Some(since) = contents.silent_since.filter(|_| !contents.silence_due) {
+                return since;
+            }
+        }
+    }
+
+    fn begin_silence_if_due(&self) {
+        let mut contents = self.contents.0.lock().expect("no writer panics");
+        if contents.silence_due {
+            contents.silence_due = false;
+            contents.epoch += 1;
+            contents.silent_since = Some(Instant::now());
+        }
+    }
+
+    fn epoch(&self) -> u32 {
+        self.contents.0.lock().expect("no writer panics").epoch
+    }
+
     pub fn get(&self, key: &str) -> Option<String> {
         let contents = self.contents.0.lock().expect("no writer panics");
         let (_, value) = contents.items.get(key)?;
@@ -127,6 +163,7 @@
 
     fn serve(&self, mut stream: TcpStream) {
         let mut input = Vec::new();
+        let epoch = self.epoch();
         while let Some(message) = read_message(&mut stream, &mut input) {
             let target = message
                 .start
@@ -145,6 +182,7 @@
             let body = match path {
                 "/kv-range" => self.range(&parameter("prefix"), &parameter("after")),
                 "/kv-watch" => {
+                    self.begin_silence_if_due();
                     let after = parameter("after").parse().unwrap_or(0);
                     match self.watch(after, parameter("waitMs").parse().unwrap_or(0)) {
                         Some(body) => body,
@@ -153,6 +191,11 @@
                 }
                 _ => String::from("{}"),
             };
+            if epoch != self.epoch() {
+                // Stays open until the peer closes it.
+                while read_message(&mut stream, &mut input).is_some() {}
+                return;
+            }
             let reply = format!(
                 "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
                 body.len()
@@ -333,7 +376,7 @@
             .spawn()
             .expect("target/release/medlarpost is built");
         let id = child.id().to_string();
-        fs::write(folder.join("node.pid"), id).expect("the process id can be written");
+        fs::write(folder.join(format!("{name}.pid")), id).expect("the process id can be written");
         Self {
             child,
             callers: format!("{ip}:8226"),
@@ -341,6 +384,20 @@
         }
     }
 
+    /// Starts so many nodes, at the run's first addresses; `None` if one of them isn't ready in time.
+    pub fn start_fleet(folder: &Path, count: u8, store: &str) -> Option<Vec<Self>> {
+        let addresses: Vec<String> = (1..=count).map(own_ip).collect();
+        let nodes: Vec<Self> = addresses
+            .iter()
+            .enumerate()
+            .map(|(i, ip)| Self::start(folder, &format!("node-{}", i + 1), ip, store, &addresses))
+            .collect();
+        let ready = nodes
+            .iter()
+            .all(|node| node.await_ready(Duration::from_secs(10)));
+        ready.then_some(nodes)
+    }
+
     /// Waits until the readiness check is answered with 200.
     pub fn await_ready(&self, within: Duration) -> bool {
         let until = Instant::now() + within;
