Identify callers by the keys of their workspaces

Change: the configuration's workspaces with their key digests, the credential of a request, the identity with which an attempt is sent, and the refusal of a request without a known key.

--- /dev/null
+++ b/crates/core/src/forward_admission.rs
@@ -0,0 +1,302 @@
+//! Admission of requests: routing, identification, refusals before anything is sent.
+
+use crate::{
+    forward_flow::{Flow, ShardAttempts, ShardMerge},
+    prelude::*,
+    record_merge::RecordMerge,
+};
+
+/// Share of a route's latency objective after which a refused caller should retry.
+const RETRY_AFTER_OBJECTIVE_SHARE: f64 = 0.25;
+
+/// Retry time given to the caller of a quarantined request.
+const QUARANTINE_RETRY_AFTER: Duration = Duration::from_mins(1);
+
+/// Retry time given to a caller when the node has no configuration or the service has no upstream.
+const NOT_READY_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// Share of the latency objective that the queues of upstreams may take before requests are refused, for urgent routes
+/// and for all others. A request that would be late uses slots that another one needs to be in time.
+const MAX_QUEUE_SHARES: (f64, f64) = (1.0, 0.7);
+
+/// Rank up to which a route is urgent, so that its requests are refused last.
+const MAX_URGENT_RANK: u32 = 1;
+
+impl Forwarder {
+    pub(crate) fn handle_request(
+        &mut self,
+        now: Timestamp,
+        caller: CallerKey,
+        request: Arc<ForwardRequest>,
+        commands: &mut Vec<ForwardCommand>,
+    ) {
+        let refuse = |refusal| ForwardCommand::Answer {
+            caller,
+            answer: ForwardAnswer::Refused(refusal),
+        };
+        let Some(table) = self.table.clone() else {
+            let retry_after = NOT_READY_RETRY_AFTER;
+            return commands.push(refuse(ForwardRefusal::NotReady { retry_after }));
+        };
+        let Some(index) = table.find(&request.host, request.path()) else {
+            return commands.push(refuse(ForwardRefusal::NoRoute));
+        };
+        let route = table.route(index);
+        let Some(caller_id) = identify(&table, route, &request.credential) else {
+            commands.push(ForwardCommand::Record(
+                ForwardTelemetry::RefusedUnauthenticated {
+                    request: Arc::clone(&request.id),
+                    route: Arc::clone(&route.name),
+                    credential: request.credential,
+                    version: table.version,
+                },
+            ));
+            return commands.push(refuse(ForwardRefusal::Unauthenticated));
+        };
+        let rank = caller_id.rank.unwrap_or(route.rank);
+        if let Some(digest) = self.quarantined_digest(now, &request) {
+            commands.push(ForwardCommand::Record(
+                ForwardTelemetry::RefusedQuarantined {
+                    request: Arc::clone(&request.id),
+                    digest,
+                },
+            ));
+            let retry_after = QUARANTINE_RETRY_AFTER;
+            return commands.push(refuse(ForwardRefusal::Unavailable { retry_after }));
+        }
+        let shards = self.new_shards(route);
+        if let Some(retry_after) = self.rest_of_all_replicas(now, route, &shards) {
+            commands.push(ForwardCommand::Record(ForwardTelemetry::RefusedResting {
+                request: Arc::clone(&request.id),
+                route: Arc::clone(&route.name),
+                retry_after,
+            }));
+            return commands.push(refuse(ForwardRefusal::Unavailable { retry_after }));
+        }
+        if !self.fits_objective(now, route, rank, &shards) {
+            commands.push(ForwardCommand::Record(
+                ForwardTelemetry::RefusedOverloaded {
+                    request: Arc::clone(&request.id),
+                    route: Arc::clone(&route.name),
+                    rank,
+                },
+            ));
+            let retry_after = route.objective.mul_f64(RETRY_AFTER_OBJECTIVE_SHARE);
+            return commands.push(refuse(ForwardRefusal::Unavailable { retry_after }));
+        }
+        let merge = match &route.target {
+            Target::Shards(target) => Some(ShardMerge {
+                records: RecordMerge::new(target.limit),
+                proofs: Vec::with_capacity(target.services.len()),
+                min_coverage: target.min_coverage,
+            }),
+            Target::Service(_) | Target::Split(_) => None,
+        };
+        let longest = self
+            .longest_wait
+            .entry(Arc::clone(&route.name))
+            .or_default();
+        *longest = (*longest).max(request.time_left);
+        // The objective counts from the caller's first attempt at this request.
+        let waited = longest.saturating_sub(request.time_left);
+        let margin = self.settings.answer_margin;
+        let objective = route.objective.saturating_sub(waited + margin);
+        let wait = request.time_left.saturating_sub(margin).min(route.timeout);
+        let flow = self.flows.insert(Flow {
+            state: self.flow_chart.initial(),
+            caller,
+            started_at: now,
+            accept_partial_at: now + objective,
+            deadline: now + wait,
+            accepts_partial: false,
+            shards,
+            merge,
+            may_have_run: false,
+            failure: None,
+            reply: None,
+            timer: None,
+            table: Arc::clone(&table),
+            route: index,
+            identity: caller_id.identity,
+            request,
+        });
+        self.callers.insert(caller, flow);
+        for shard in 0..self.flows[flow].shards.len() {
+            self.start_shard(now, flow, shard, commands);
+        }
+        self.check_completion(now, flow, commands);
+    }
+
+    /// Digest of the request if it is quarantined.
+    fn quarantined_digest(&mut self, now: Timestamp, request: &ForwardRequest) -> Option<Digest> {
+        if self.quarantine.is_empty() {
+            return None;
+        }
+        let digest = request.digest();
+        self.quarantine.must_refuse(now, digest).then_some(digest)
+    }
+
+    /// Time after which enough shards have a replica that takes requests again, if too few have one now because all of
+    /// theirs want none. `None` if the request can be sent.
+    fn rest_of_all_replicas(
+        &self,
+        now: Timestamp,
+        route: &Route,
+        shards: &[ShardAttempts],
+    ) -> Option<Duration> {
+        let mut rests: Vec<Duration> = shards
+            .iter()
+            .filter_map(|shard| self.service_rest_left(now, route, shard.service))
+            .collect();
+        let min_coverage = match &route.target {
+            Target::Shards(target) => target.min_coverage,
+            Target::Service(_) | Target::Split(_) => 1.0,
+        };
+        let needed = (min_coverage * shards.len() as f64 - 1e-9).ceil() as usize;
+        let missing = needed.saturating_sub(shards.len() - rests.len());
+        rests.sort();
+        missing
+            .checked_sub(1)
+            .and_then(|last| rests.get(last).copied())
+    }
+
+    /// Time until the first replica of a service takes requests again; `None` if one does now, or if there is none that
+    /// will.
+    fn service_rest_left(
+        &self,
+        now: Timestamp,
+        route: &Route,
+        service: ServiceKey,
+    ) -> Option<Duration> {
+        let mut shortest = None;
+        for key in &self.services[service].replicas {
+            let replica = &self.replicas[*key];
+            let zone = &replica.entry.zone;
+            let excluded = replica.state == ReplicaState::Leaving
+                || self.evacuated_zones.contains(zone)
+                || !self.settings.is_allowed(route, zone);
+            if excluded {
+                continue;
+            }
+            let left = replica.rest_left(now)?;
+            shortest = Some(shortest.map_or(left, |other: Duration| other.min(left)));
+        }
+        shortest
+    }
+
+    /// Whether enough shards can answer within the objective, judged by the queues of their upstreams. Shards without a
+    /// warm upstream are assumed to fit, as nothing is known about their queues.
+    fn fits_objective(
+        &self,
+        now: Timestamp,
+        route: &Route,
+        rank: u32,
+        shards: &[ShardAttempts],
+    ) -> bool {
+        let Some(times) = self.reply_times.get(&route.name) else {
+            return true;
+        };
+        let (urgent, others) = MAX_QUEUE_SHARES;
+        let share = if rank <= MAX_URGENT_RANK {
+            urgent
+        } else {
+            others
+        };
+        let max_queue_secs = times.objective_secs() * share;
+        let min_coverage = match &route.target {
+            Target::Shards(target) => target.min_coverage,
+            Target::Service(_) | Target::Split(_) => 1.0,
+        };
+        let fitting = shards.iter().filter(|shard| {
+            let replicas = self.services[shard.service].replicas.iter();
+            let replicas = replicas.map(|key| &self.replicas[*key]);
+            let mut warm = replicas
+                .filter(|replica| replica.state == ReplicaState::Warm)
+                .peekable();
+            warm.peek().is_none()
+                || warm.any(|replica| replica.answers_within(now, times, max_queue_secs))
+        });
+        fitting.count() as f64 >= min_coverage * shards.len() as f64 - 1e-9
+    }
+
+    fn new_shards(&mut self, route: &Route) -> Vec<ShardAttempts> {
+        let services = match &route.target {
+            Target::Service(service) => vec![Arc::clone(service)],
+            Target::Split(parts) => vec![self.next_split_service(&route.name, parts)],
+            Target::Shards(target) => target.services.clone(),
+        };
+        let shards = services
+            .iter()
+            .map(|name| ShardAttempts::new(self.service(name)));
+        shards.collect()
+    }
+
+    /// Service of a split with the most credit. A request that it can't take is not moved to another service.
+    fn next_split_service(&mut self, route: &Arc<str>, parts: &[(Arc<str>, f64)]) -> Arc<str> {
+        let random = &mut self.random;
+        let credit = self
+            .split_credit
+            .entry(Arc::clone(route))
+            .or_insert_with(|| parts.iter().map(|_| random.f64()).collect());
+        credit.resize(parts.len(), 0.0);
+        let total: f64 = parts.iter().map(|(_, weight)| weight).sum();
+        for (credit, (_, weight)) in credit.iter_mut().zip(parts) {
+            *credit += weight / total.max(f64::MIN_POSITIVE);
+        }
+        let highest = (0..parts.len())
+            .max_by(|a, b| credit[*a].total_cmp(&credit[*b]))
+            .unwrap_or_default();
+        credit[highest] -= 1.0;
+        Arc::clone(&parts[highest].0)
+    }
+
+    /// Time after which a refused caller should retry.
+    pub(crate) fn retry_after(&self, now: Timestamp, key: FlowKey) -> Duration {
+        let Some(flow) = self.flows.get(key) else {
+            return NOT_READY_RETRY_AFTER;
+        };
+        if let Some(rest) = self.rest_of_all_replicas(now, flow.route(), &flow.shards) {
+            return rest;
+        }
+        let is_empty = |shard: &ShardAttempts| self.services[shard.service].replicas.is_empty();
+        if flow.shards.iter().any(is_empty) {
+            return NOT_READY_RETRY_AFTER;
+        }
+        flow.route().objective.mul_f64(RETRY_AFTER_OBJECTIVE_SHARE)
+    }
+}
+
+/// A caller as its key shows it.
+struct IdentifiedCaller {
+    identity: CallerIdentity,
+    /// Rank of its workspace, which replaces the route's.
+    rank: Option<u32>,
+}
+
+/// Identifies the caller of a request; `None` if the route needs a key and the request has none that a workspace holds.
+fn identify(
+    table: &RoutingTable,
+    route: &Route,
+    credential: &Credential,
+) -> Option<IdentifiedCaller> {
+    let Some(workspaces) = &table.workspaces else {
+        return Some(IdentifiedCaller {
+            identity: CallerIdentity::Unchecked,
+            rank: None,
+        });
+    };
+    let holder = match credential {
+        Credential::Key(digest) => workspaces.find(digest),
+        Credential::Missing | Credential::Malformed => None,
+    };
+    match holder.map(|index| workspaces.settings(index)) {
+        Some(workspace) => Some(IdentifiedCaller {
+            identity: CallerIdentity::Workspace(Arc::clone(&workspace.name)),
+            rank: workspace.rank,
+        }),
+        None => route.public.then_some(IdentifiedCaller {
+            identity: CallerIdentity::Anonymous,
+            rank: None,
+        }),
+    }
+}
--- a/crates/core/src/forward_command.rs
+++ b/crates/core/src/forward_command.rs
@@ -25,6 +25,8 @@
         upstream: UpstreamKey,
         /// Request to send.
         request: Arc<ForwardRequest>,
+        /// On whose behalf it is sent.
+        identity: CallerIdentity,
         /// Time after which the reply is of no use.
         deadline: Timestamp,
         /// Whether the request is not idempotent and must not run twice.
@@ -86,6 +88,17 @@
         /// Time after which enough of them take requests again.
         retry_after: Duration,
     },
+    /// A request was refused because it has no key that a workspace holds.
+    RefusedUnauthenticated {
+        /// Id of the caller's request.
+        request: Arc<str>,
+        /// Name of its route.
+        route: Arc<str>,
+        /// What it says about its caller.
+        credential: Credential,
+        /// Version of the configuration that it was checked against.
+        version: u64,
+    },
     /// Requests with this digest crash upstreams and are refused for a while.
     RequestQuarantined {
         /// Digest of the requests.
--- a/crates/core/src/forward_flow.rs
+++ b/crates/core/src/forward_flow.rs
@@ -9,6 +9,7 @@
     pub(crate) state: FlowState,
     pub(crate) caller: CallerKey,
     pub(crate) request: Arc<ForwardRequest>,
+    pub(crate) identity: CallerIdentity,
     /// Configuration in force when the request arrived. All parts of an answer come from the same one.
     pub(crate) table: Arc<RoutingTable>,
     pub(crate) route: RouteIndex,
--- a/crates/core/src/forward_request.rs
+++ b/crates/core/src/forward_request.rs
@@ -14,6 +14,8 @@
     pub method: String,
     /// Request target: path and query string, forwarded unchanged.
     pub target: String,
+    /// What the request says about its caller.
+    pub credential: Credential,
     /// Header fields to forward.
     pub fields: Vec<(String, Bytes)>,
     /// Complete body.
@@ -143,6 +145,13 @@
         /// Time after which the caller should retry.
         retry_after: Duration,
     },
+    /// The route needs a key, and the request has none that a workspace holds; not run.
+    Unauthenticated,
+    /// The workspace has used up its quota; not run.
+    OverQuota {
+        /// Time after which one more request fits.
+        retry_after: Duration,
+    },
     /// The request may have run, and its reply was lost.
     OutcomeUnknown,
     /// The deadline passed; the request may have run.
@@ -156,6 +165,8 @@
             Self::NoRoute => "no_route",
             Self::NotReady { .. } => "not_ready",
             Self::Unavailable { .. } => "unavailable",
+            Self::Unauthenticated => "unauthenticated",
+            Self::OverQuota { .. } => "over_quota",
             Self::OutcomeUnknown => "unknown",
             Self::TimedOut => "timed_out",
         }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -61,14 +61,18 @@
 pub mod upstream_notice;
 pub mod validation_error;
 pub mod warm_up_ownership;
+pub mod workspace_settings;
 
 mod attempt;
 mod booking;
 mod bookings;
 mod coverage;
+mod forward_admission;
 mod forward_flow;
+mod forward_placement;
 mod forward_replies;
 mod forward_sends;
+mod forward_timers;
 mod hex;
 mod query;
 mod replica;
--- a/crates/core/src/prelude.rs
+++ b/crates/core/src/prelude.rs
@@ -53,6 +53,9 @@
     timestamp::Timestamp,
     upstream_notice::{NoticeKind, UpstreamNotice},
     validation_error::{ValidationCode, ValidationError},
+    workspace_settings::{
+        CallerIdentity, Credential, Quota, WorkspaceIndex, WorkspaceSettings, Workspaces,
+    },
 };
 
 pub use {
--- a/crates/core/src/routing.rs
+++ b/crates/core/src/routing.rs
@@ -12,6 +12,8 @@
     routes: Vec<Route>,
     /// Settings of the services that routes refer to, by name.
     pub services: BTreeMap<Arc<str>, ServiceSettings>,
+    /// Workspaces that callers belong to; `None` if callers are not identified.
+    pub workspaces: Option<Workspaces>,
     /// Limits on callers' requests and connections.
     pub limits: CallerLimits,
     /// Routes by lower-case host, longest prefix first.
@@ -41,6 +43,8 @@
     pub max_attempts: u32,
     /// Priority under overload; 0 is the most urgent.
     pub rank: u32,
+    /// Whether callers need no key where others do.
+    pub public: bool,
     /// Regions whose upstreams may be used; empty for all.
     pub regions: Vec<String>,
     /// Services that requests are sent to.
@@ -127,11 +131,18 @@
             version,
             routes,
             services,
+            workspaces: None,
             limits,
             by_host,
         }
     }
 
+    /// Identifies callers by the keys of these workspaces.
+    #[must_use]
+    pub fn with_workspaces(self, workspaces: Option<Workspaces>) -> Self {
+        Self { workspaces, ..self }
+    }
+
     /// Route of `host` with the longest prefix of `path`.
     pub fn find(&self, host: &str, path: &str) -> Option<RouteIndex> {
         let indices = match self.by_host.get(host) {
--- a/crates/core/tests/forwarding/forward_harness.rs
+++ b/crates/core/tests/forwarding/forward_harness.rs
@@ -70,6 +70,7 @@
         objective: OBJECTIVE,
         max_attempts: 2,
         rank: 1,
+        public: false,
         regions: Vec::new(),
         target,
     }
@@ -120,6 +121,7 @@
         host: "search.example".to_owned(),
         method: "GET".to_owned(),
         target: path.to_owned(),
+        credential: Credential::Missing,
         fields: Vec::new(),
         body: Bytes::new(),
         time_left: TIMEOUT,
--- a/crates/node/src/dialect.rs
+++ b/crates/node/src/dialect.rs
@@ -19,11 +19,12 @@
     /// Encodes the answer for a caller.
     fn encode_answer(&self, answer: ForwardAnswer) -> HttpAnswer;
 
-    /// Encodes the head of a request to the upstream `instance`, which has `time_left` to reply. `None` if the request
-    /// can't be encoded; it is then not sent.
+    /// Encodes the head of a request on behalf of `identity` to the upstream `instance`, which has `time_left` to reply.
+    /// `None` if the request can't be encoded; it is then not sent.
     fn encode_upstream_request(
         &self,
         request: &ForwardRequest,
+        identity: &CallerIdentity,
         instance: &str,
         time_left: Duration,
     ) -> Option<RequestHead>;
--- a/crates/node/src/forward_log.rs
+++ b/crates/node/src/forward_log.rs
@@ -35,6 +35,13 @@
             retry_after,
         } => info!(log, "refused_resting"; "request" => &**request, "route" => &**route,
             "retry_after_ms" => retry_after.as_millis() as u64),
+        ForwardTelemetry::RefusedUnauthenticated {
+            request,
+            route,
+            credential,
+            version,
+        } => info!(log, "refused_unauthenticated"; "request" => &**request, "route" => &**route,
+            "key" => credential.log_id(), "version" => *version),
         ForwardTelemetry::RequestQuarantined { digest, from_peer } => {
             warn!(log, "request_barred"; "digest" => %digest, "told" => *from_peer);
         }
--- a/crates/node/src/forward_metrics.rs
+++ b/crates/node/src/forward_metrics.rs
@@ -102,6 +102,9 @@
             ForwardTelemetry::RefusedQuarantined { .. } => {
                 self.given_up.with_label_values(&["barred"]).inc();
             }
+            ForwardTelemetry::RefusedUnauthenticated { .. } => {
+                self.given_up.with_label_values(&["unauthenticated"]).inc();
+            }
             ForwardTelemetry::ShardGivenUp { cause, .. } => {
                 self.given_up.with_label_values(&[*cause]).inc();
             }
--- a/crates/node/src/forward_task.rs
+++ b/crates/node/src/forward_task.rs
@@ -233,12 +233,14 @@
                 attempt,
                 upstream,
                 request,
+                identity,
                 deadline,
                 at_most_once,
             } => {
                 let job = ForwardJob {
                     attempt,
                     request,
+                    identity,
                     deadline,
                 };
                 if let Some(pool) = self.pools.get_mut(upstream) {
--- a/crates/node/src/upstream_connection.rs
+++ b/crates/node/src/upstream_connection.rs
@@ -46,6 +46,7 @@
 pub(crate) struct ForwardJob {
     pub(crate) attempt: AttemptKey,
     pub(crate) request: Arc<ForwardRequest>,
+    pub(crate) identity: CallerIdentity,
     pub(crate) deadline: Timestamp,
 }
 
@@ -251,6 +252,7 @@
         let time_left = job.deadline.since(self.parts.clock.now());
         let head = self.parts.dialect.encode_upstream_request(
             &job.request,
+            &job.identity,
             &self.parts.instance,
             time_left,
         );
--- a/crates/node/tests/failed_task.rs
+++ b/crates/node/tests/failed_task.rs
@@ -54,6 +54,7 @@
     fn encode_upstream_request(
         &self,
         _request: &ForwardRequest,
+        _identity: &CallerIdentity,
         _instance: &str,
         _time_left: Duration,
     ) -> Option<RequestHead> {
