--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -59,11 +59,11 @@
         &mut self.queue
     }
 
-    /// Decides on a query of `tenant` whose answer is due in `left` and that is expected to run for `needed`.
+    /// Decides on a query of `workspace` whose answer is due in `left` and that is expected to run for `needed`.
     ///
     /// An idle service admits every query; otherwise an outdated `needed` could refuse all queries for good, since only
     /// running queries update it.
-    pub fn decide(&self, tenant: &str, left: Duration, needed: Duration) -> AdmissionDecision {
+    pub fn decide(&self, workspace: &str, left: Duration, needed: Duration) -> AdmissionDecision {
         if self.running == 0 && self.queue.is_empty() {
             return AdmissionDecision::Start;
         }
@@ -73,7 +73,7 @@
         if self.running < self.limit.current() && self.queue.is_empty() {
             return AdmissionDecision::Start;
         }
-        let position = self.queue.position_of_next(tenant);
+        let position = self.queue.position_of_next(workspace);
         let wait_us = self.end_interval_us * position as f64;
         if left < needed + Duration::from_micros(wait_us as u64) {
             return AdmissionDecision::Unreachable;
--- a/crates/core/src/answer.rs
+++ b/crates/core/src/answer.rs
@@ -72,6 +72,6 @@
     pub owner: String,
     /// Public fields as JSON, encoded by the upstream.
     pub fields: Arc<str>,
-    /// Fields as JSON, encoded by the upstream, that only tenants of the owning firm may see.
+    /// Fields as JSON, encoded by the upstream, that only workspaces of the owning firm may see.
     pub private: Option<Arc<str>>,
 }
--- a/crates/core/src/booking.rs
+++ b/crates/core/src/booking.rs
@@ -79,7 +79,7 @@
 pub(crate) struct Booking {
     pub(crate) state: BookingState,
     pub(crate) ticket: Ticket<Authentic>,
-    pub(crate) tenant: Arc<str>,
+    pub(crate) workspace: Arc<str>,
     pub(crate) service: Arc<str>,
     pub(crate) body: Arc<str>,
     pub(crate) deadline: Timestamp,
--- a/crates/core/src/bookings.rs
+++ b/crates/core/src/bookings.rs
@@ -58,7 +58,7 @@
         // A request for a ticket has no deadline of its own; 1 ms passes the check of the deadline.
         let issued = cx
             .check_new_work(now, Some(TICKET_LIFETIME.min(Duration::from_millis(1))))
-            .and_then(|_| cx.authenticate_or_refuse(&request.tenant, &request.token))
+            .and_then(|_| cx.authenticate_or_refuse(&request.workspace, &request.token))
             .and_then(|_| {
                 let exhausted = || {
                     (
@@ -67,7 +67,7 @@
                     )
                 };
                 self.tickets
-                    .issue(now, &request.tenant)
+                    .issue(now, &request.workspace)
                     .ok_or_else(exhausted)
             });
         let command = match issued {
@@ -104,12 +104,12 @@
         request: BookingRequest,
         commands: &mut Vec<Command>,
     ) -> Result<(), RefusalParts> {
-        cx.authenticate_or_refuse(&request.tenant, &request.token)
+        cx.authenticate_or_refuse(&request.workspace, &request.token)
             .map_err(as_not_run)?;
         let content = Digest::of(format!("{}\n{}", request.service, request.booking).as_bytes());
         match self
             .tickets
-            .redeem(now, &request.ticket, &request.tenant, content)
+            .redeem(now, &request.ticket, &request.workspace, content)
         {
             Redemption::Granted(ticket) => {
                 self.start_booking(cx, now, request, ticket, content, commands)
@@ -121,10 +121,10 @@
                 Ok(())
             }
             Redemption::Completed { booking_id, reply } => {
-                let (caller, tenant) = (request.caller, request.tenant);
+                let (caller, workspace) = (request.caller, request.workspace);
                 commands.push(Command::AnswerBooking {
                     caller,
-                    tenant,
+                    workspace,
                     booking_id,
                     reply,
                     replayed: true,
@@ -168,7 +168,7 @@
         let booking = Booking {
             state: self.chart.initial(),
             ticket,
-            tenant: request.tenant,
+            workspace: request.workspace,
             service: request.service,
             body: request.booking,
             deadline: now + deadline,
@@ -314,7 +314,7 @@
                 for (caller, _) in &booking.waiting {
                     commands.push(Command::AnswerBooking {
                         caller: *caller,
-                        tenant: Arc::clone(&booking.tenant),
+                        workspace: Arc::clone(&booking.workspace),
                         booking_id: booking.ticket.booking_id(),
                         reply: reply.clone(),
                         replayed: false,
@@ -366,7 +366,7 @@
         commands.push(refuse_command(
             *caller,
             request_id,
-            &booking.tenant,
+            &booking.workspace,
             (kind, execution, detail.to_owned()),
         ));
     }
@@ -375,7 +375,7 @@
 fn refuse_command(
     caller: CallerKey,
     request_id: &Arc<str>,
-    tenant: &Arc<str>,
+    workspace: &Arc<str>,
     refused: RefusalParts,
 ) -> Command {
     let (kind, execution, detail) = refused;
@@ -387,7 +387,7 @@
     };
     Command::Refuse {
         caller,
-        tenant: Arc::clone(tenant),
+        workspace: Arc::clone(workspace),
         refusal,
     }
 }
--- a/crates/core/src/bundle.rs
+++ b/crates/core/src/bundle.rs
@@ -2,7 +2,7 @@
 
 use crate::prelude::*;
 
-/// Configuration of a deployment: zones, limits, tenant classes, tenants, upstreams and services.
+/// Configuration of a deployment: zones, limits, workspace classes, workspaces, upstreams and services.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
@@ -25,12 +25,12 @@
     /// Availability zones, listed as `[[zone]]`.
     #[serde(default, rename = "zone")]
     pub zones: Vec<Zone>,
-    /// Tenant classes, listed as `[[class]]`.
+    /// Workspace classes, listed as `[[class]]`.
     #[serde(default, rename = "class")]
-    pub classes: Vec<TenantClass>,
-    /// Tenants, listed as `[[tenant]]`.
+    pub classes: Vec<WorkspaceClass>,
+    /// Workspaces, listed as `[[workspace]]`.
     #[serde(default, rename = "tenant")]
-    pub tenants: Vec<Tenant>,
+    pub workspaces: Vec<Workspace>,
     /// Upstreams, listed as `[[upstream]]`.
     #[serde(default, rename = "upstream")]
     pub upstreams: Vec<Upstream>,
@@ -120,11 +120,11 @@
     Out,
 }
 
-/// A class of tenants that share a preference and a weight.
+/// A class of workspaces that share a preference and a weight.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
-pub struct TenantClass {
+pub struct WorkspaceClass {
     /// Unique name of the class.
     pub name: String,
     /// What queries give up when shards are late.
@@ -134,7 +134,7 @@
     pub weight: u32,
 }
 
-/// What the queries of a tenant class favour when shards are late.
+/// What the queries of a workspace class favour when shards are late.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 #[derive(Deserialize, Serialize)]
 #[serde(rename_all = "kebab-case")]
@@ -149,15 +149,15 @@
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
-pub struct Tenant {
-    /// Unique name of the tenant.
+pub struct Workspace {
+    /// Unique name of the workspace.
     pub name: String,
-    /// Name of the tenant's class.
+    /// Name of the workspace's class.
     pub class: String,
-    /// SHA-256 digests, in hexadecimal, of the tokens that authenticate this tenant. Two at a time allow a token
+    /// SHA-256 digests, in hexadecimal, of the tokens that authenticate this workspace. Two at a time allow a token
     /// rotation.
     pub token_sha256: Vec<Digest>,
-    /// Firms whose private fields this tenant may see, as named in the `owner` field of a hit.
+    /// Firms whose private fields this workspace may see, as named in the `owner` field of a hit.
     #[serde(default)]
     pub firms: Vec<String>,
 }
--- a/crates/core/src/bundle_check.rs
+++ b/crates/core/src/bundle_check.rs
@@ -15,16 +15,16 @@
 /// Far above the 5 zones per region that the system is designed for.
 const MAX_ZONES_OR_CLASSES: usize = 64;
 
-/// Each tenant is a metric label.
-const MAX_TENANTS: usize = 10_000;
+/// Each workspace is a metric label.
+const MAX_WORKSPACES: usize = 10_000;
 
 /// Four times the 2,500 upstreams that the system is designed for.
 const MAX_UPSTREAMS: usize = 10_000;
 
 /// Two tokens allow a token rotation, two more a second caller.
-const MAX_TOKENS_PER_TENANT: usize = 4;
+const MAX_TOKENS_PER_WORKSPACE: usize = 4;
 
-const MAX_FIRMS_PER_TENANT: usize = 1_000;
+const MAX_FIRMS_PER_WORKSPACE: usize = 1_000;
 
 const ONE_DAY_MS: u64 = 24 * 60 * 60 * 1_000;
 
@@ -60,7 +60,7 @@
     checker.check_header();
     checker.check_limits_and_policy();
     checker.check_zones_and_classes();
-    checker.check_tenants();
+    checker.check_workspaces();
     checker.check_upstreams(fleet_size);
     service_check::check_services(&mut checker);
     checker.check_capacity();
@@ -253,24 +253,24 @@
         }
     }
 
-    fn check_tenants(&mut self) {
+    fn check_workspaces(&mut self) {
         let bundle = self.bundle;
-        self.check_length("tenants", bundle.tenants.len(), 1..=MAX_TENANTS);
-        for tenant in &bundle.tenants {
-            let location = format!("tenant {}", tenant.name);
-            self.check_name(&location, &tenant.name);
-            if !bundle.classes.iter().any(|c| c.name == tenant.class) {
+        self.check_length("tenants", bundle.workspaces.len(), 1..=MAX_WORKSPACES);
+        for workspace in &bundle.workspaces {
+            let location = format!("tenant {}", workspace.name);
+            self.check_name(&location, &workspace.name);
+            if !bundle.classes.iter().any(|c| c.name == workspace.class) {
                 self.add_error(
                     ValidationCode::UnknownClass,
                     &*location,
-                    format!("class {:?}", tenant.class),
+                    format!("class {:?}", workspace.class),
                 );
             }
-            let tokens = &tenant.token_sha256;
+            let tokens = &workspace.token_sha256;
             self.check_length(
                 &format!("{location}, token_sha256"),
                 tokens.len(),
-                1..=MAX_TOKENS_PER_TENANT,
+                1..=MAX_TOKENS_PER_WORKSPACE,
             );
             if tokens.contains(&Digest::of(b"")) {
                 self.add_error(
@@ -281,19 +281,21 @@
             }
             self.check_length(
                 &format!("{location}, firms"),
-                tenant.firms.len(),
-                0..=MAX_FIRMS_PER_TENANT,
+                workspace.firms.len(),
+                0..=MAX_FIRMS_PER_WORKSPACE,
             );
-            for firm in &tenant.firms {
+            for firm in &workspace.firms {
                 self.check_name(&format!("{location}, firm {firm}"), firm);
             }
         }
-        let names = bundle.tenants.iter();
-        self.check_unique(names.map(|tenant| (&tenant.name, format!("tenant {}", tenant.name))));
-        // A token must identify exactly one tenant.
-        let tokens = bundle.tenants.iter().flat_map(|tenant| {
-            let location = format!("tenant {}, token_sha256", tenant.name);
-            tenant
+        let names = bundle.workspaces.iter();
+        self.check_unique(
+            names.map(|workspace| (&workspace.name, format!("tenant {}", workspace.name))),
+        );
+        // A token must identify exactly one workspace.
+        let tokens = bundle.workspaces.iter().flat_map(|workspace| {
+            let location = format!("tenant {}, token_sha256", workspace.name);
+            workspace
                 .token_sha256
                 .iter()
                 .map(move |hash| (hash, location.clone()))
--- a/crates/core/src/bundle_diff.rs
+++ b/crates/core/src/bundle_diff.rs
@@ -29,8 +29,8 @@
     pub index_removed: Vec<String>,
     /// Services added, removed, or with changed shards or upstreams.
     pub services_changed: Vec<String>,
-    /// Tenants added, removed, or with a changed class, tokens or firms.
-    pub tenants_changed: Vec<String>,
+    /// Workspaces added, removed, or with a changed class, tokens or firms.
+    pub workspaces_changed: Vec<String>,
     /// Share of the slots, 0 to 1, that accepts new work, before and after.
     pub capacity_in: (f64, f64),
 }
@@ -68,7 +68,8 @@
             index_added: missing_from(&index_versions(new), &index_versions(old)),
             index_removed: missing_from(&index_versions(old), &index_versions(new)),
             services_changed: diff_by_name(&old.services, &new.services, |s| &s.name).into_names(),
-            tenants_changed: diff_by_name(&old.tenants, &new.tenants, |t| &t.name).into_names(),
+            workspaces_changed: diff_by_name(&old.workspaces, &new.workspaces, |t| &t.name)
+                .into_names(),
             capacity_in: (
                 bundle_check::active_capacity_share(old),
                 bundle_check::active_capacity_share(new),
@@ -88,7 +89,7 @@
             ("index versions added", &self.index_added),
             ("index versions removed", &self.index_removed),
             ("services changed", &self.services_changed),
-            ("tenants changed", &self.tenants_changed),
+            ("tenants changed", &self.workspaces_changed),
         ]
     }
 }
--- a/crates/core/src/command.rs
+++ b/crates/core/src/command.rs
@@ -42,8 +42,8 @@
     AnswerQuery {
         /// Caller to answer.
         caller: CallerKey,
-        /// Tenant, for metrics.
-        tenant: Arc<str>,
+        /// Workspace, for metrics.
+        workspace: Arc<str>,
         /// Merged hits and their coverage.
         answer: Answer,
     },
@@ -60,8 +60,8 @@
     AnswerBooking {
         /// Caller to answer.
         caller: CallerKey,
-        /// Tenant, for metrics.
-        tenant: Arc<str>,
+        /// Workspace, for metrics.
+        workspace: Arc<str>,
         /// Id of the booking, the same for every repeat.
         booking_id: String,
         /// The upstream's reply.
@@ -80,8 +80,8 @@
     Refuse {
         /// Caller to answer.
         caller: CallerKey,
-        /// Tenant, for metrics; empty if the caller is not authenticated.
-        tenant: Arc<str>,
+        /// Workspace, for metrics; empty if the caller is not authenticated.
+        workspace: Arc<str>,
         /// Reason, and whether anything ran.
         refusal: Refusal,
     },
--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -40,7 +40,7 @@
 #[derive(Debug)]
 pub(crate) struct Shared {
     pub(crate) bundle: Option<Arc<ApprovedBundle>>,
-    pub(crate) tenants: SlotMap<TenantKey, Tenant>,
+    pub(crate) workspaces: SlotMap<WorkspaceKey, Workspace>,
     pub(crate) upstreams: Upstreams,
     pub(crate) attempts: SlotMap<AttemptKey, Attempt>,
     /// Time from which new work is refused, unless the configuration is confirmed again.
@@ -70,7 +70,7 @@
         let bookings = Bookings::new(settings)?;
         let shared = Shared {
             bundle: None,
-            tenants: SlotMap::with_key(),
+            workspaces: SlotMap::with_key(),
             upstreams: Upstreams::new(settings)?,
             attempts: SlotMap::with_key(),
             fresh_until: Timestamp::ZERO,
@@ -239,23 +239,23 @@
         bundle: Arc<ApprovedBundle>,
         commands: &mut Vec<Command>,
     ) {
-        self.tenants.clear();
-        for tenant in &bundle.tenants {
-            self.tenants.insert(tenant.clone());
+        self.workspaces.clear();
+        for workspace in &bundle.workspaces {
+            self.workspaces.insert(workspace.clone());
         }
         self.upstreams.configure(now, &bundle, commands);
         self.bundle = Some(bundle);
     }
 
-    /// Returns the named tenant if the token is one of its own. Every hash of the tenant is compared in constant time.
-    pub(crate) fn authenticate(&self, name: &str, token: &str) -> Option<TenantKey> {
+    /// Returns the named workspace if the token is one of its own. Every hash of the workspace is compared in constant time.
+    pub(crate) fn authenticate(&self, name: &str, token: &str) -> Option<WorkspaceKey> {
         use subtle::ConstantTimeEq as _;
         let digest = Digest::of(token.as_bytes());
-        let (key, tenant) = self
-            .tenants
+        let (key, workspace) = self
+            .workspaces
             .iter()
-            .find(|(_, tenant)| tenant.name == name)?;
-        let known = tenant
+            .find(|(_, workspace)| workspace.name == name)?;
+        let known = workspace
             .token_sha256
             .iter()
             .fold(0, |known, hash| known | hash.0.ct_eq(&digest.0).unwrap_u8());
@@ -267,7 +267,7 @@
         &self,
         name: &str,
         token: &str,
-    ) -> Result<TenantKey, (RefusalKind, String)> {
+    ) -> Result<WorkspaceKey, (RefusalKind, String)> {
         let refused = || {
             (
                 RefusalKind::Unauthenticated,
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -50,8 +50,8 @@
     pub request_id: Arc<str>,
     /// Secret token from the caller; must not be logged.
     pub token: Arc<str>,
-    /// Tenant that the caller claims; not authenticated.
-    pub tenant: Arc<str>,
+    /// Workspace that the caller claims; not authenticated.
+    pub workspace: Arc<str>,
     /// Name of the search service.
     pub service: Arc<str>,
     /// Query text.
@@ -71,8 +71,8 @@
     pub request_id: Arc<str>,
     /// Secret token from the caller; must not be logged.
     pub token: Arc<str>,
-    /// Tenant that the caller claims; not authenticated.
-    pub tenant: Arc<str>,
+    /// Workspace that the caller claims; not authenticated.
+    pub workspace: Arc<str>,
 }
 
 /// A booking from a caller.
@@ -84,8 +84,8 @@
     pub request_id: Arc<str>,
     /// Secret token from the caller; must not be logged.
     pub token: Arc<str>,
-    /// Tenant that the caller claims; not authenticated.
-    pub tenant: Arc<str>,
+    /// Workspace that the caller claims; not authenticated.
+    pub workspace: Arc<str>,
     /// Name of the booking service.
     pub service: Arc<str>,
     /// Ticket in its text form.
--- a/crates/core/src/fair_queue.rs
+++ b/crates/core/src/fair_queue.rs
@@ -3,7 +3,7 @@
 use crate::prelude::*;
 use std::collections::{HashSet, VecDeque};
 
-/// Queue with weighted round robin over classes, and plain round robin over the tenants of a class.
+/// Queue with weighted round robin over classes, and plain round robin over the workspaces of a class.
 #[derive(Debug, Default)]
 pub struct FairQueue {
     classes: VecDeque<ClassQueue>,
@@ -16,11 +16,11 @@
     weight: u32,
     /// Queries that the class may still start in this round.
     credit: u32,
-    tenants: VecDeque<TenantQueue>,
+    workspaces: VecDeque<WorkspaceQueue>,
 }
 
 #[derive(Debug)]
-struct TenantQueue {
+struct WorkspaceQueue {
     name: Arc<str>,
     queries: VecDeque<QueryKey>,
 }
@@ -36,8 +36,8 @@
         self.members.is_empty()
     }
 
-    /// Appends a query to its tenant's queue. The given weight replaces the earlier weight of the class; 0 counts as 1.
-    pub fn push(&mut self, (class, weight): (&str, u32), tenant: &Arc<str>, query: QueryKey) {
+    /// Appends a query to its workspace's queue. The given weight replaces the earlier weight of the class; 0 counts as 1.
+    pub fn push(&mut self, (class, weight): (&str, u32), workspace: &Arc<str>, query: QueryKey) {
         self.members.insert(query);
         let known = self.classes.iter().position(|c| &*c.name == class);
         let position = known.unwrap_or_else(|| {
@@ -45,16 +45,16 @@
                 name: Arc::from(class),
                 weight: 0,
                 credit: weight.max(1),
-                tenants: VecDeque::new(),
+                workspaces: VecDeque::new(),
             });
             self.classes.len() - 1
         });
         let class = &mut self.classes[position];
         class.weight = weight.max(1);
-        match class.tenants.iter_mut().find(|t| t.name == *tenant) {
-            Some(tenant) => tenant.queries.push_back(query),
-            None => class.tenants.push_back(TenantQueue {
-                name: Arc::clone(tenant),
+        match class.workspaces.iter_mut().find(|t| t.name == *workspace) {
+            Some(workspace) => workspace.queries.push_back(query),
+            None => class.workspaces.push_back(WorkspaceQueue {
+                name: Arc::clone(workspace),
                 queries: VecDeque::from([query]),
             }),
         }
@@ -65,9 +65,9 @@
         if !self.members.remove(&query) {
             return;
         }
-        for tenant in self.classes.iter_mut().flat_map(|c| &mut c.tenants) {
-            if let Some(position) = tenant.queries.iter().position(|q| *q == query) {
-                tenant.queries.remove(position);
+        for workspace in self.classes.iter_mut().flat_map(|c| &mut c.workspaces) {
+            if let Some(position) = workspace.queries.iter().position(|q| *q == query) {
+                workspace.queries.remove(position);
                 break;
             }
         }
@@ -77,9 +77,9 @@
     /// Removes the next query in fair order.
     pub fn pop(&mut self) -> Option<QueryKey> {
         let class = self.classes.front_mut()?;
-        let mut tenant = class.tenants.pop_front()?;
-        let query = tenant.queries.pop_front()?;
-        class.tenants.push_back(tenant);
+        let mut workspace = class.workspaces.pop_front()?;
+        let query = workspace.queries.pop_front()?;
+        class.workspaces.push_back(workspace);
         class.credit = class.credit.saturating_sub(1);
         if class.credit == 0 {
             class.credit = class.weight;
@@ -90,21 +90,21 @@
         Some(query)
     }
 
-    /// Removes the newest query of the tenant with the longest queue, if that queue is longer than the queue of
-    /// `tenant` would be with one more query.
-    pub fn displace_for(&mut self, tenant: &str) -> Option<QueryKey> {
+    /// Removes the newest query of the workspace with the longest queue, if that queue is longer than the queue of
+    /// `workspace` would be with one more query.
+    pub fn displace_for(&mut self, workspace: &str) -> Option<QueryKey> {
         let lengths = |name: &str| {
-            let queues = self.classes.iter().flat_map(|c| &c.tenants);
+            let queues = self.classes.iter().flat_map(|c| &c.workspaces);
             queues
                 .filter(|t| &*t.name == name)
                 .map(|t| t.queries.len())
                 .sum::<usize>()
         };
-        let own = lengths(tenant);
+        let own = lengths(workspace);
         let longest = self
             .classes
             .iter_mut()
-            .flat_map(|c| &mut c.tenants)
+            .flat_map(|c| &mut c.workspaces)
             .max_by_key(|t| t.queries.len())?;
         if longest.queries.len() <= own + 1 {
             return None;
@@ -114,12 +114,12 @@
         Some(query)
     }
 
-    /// Number of queries that would start up to and including the next query of `tenant` if all tenants had equal
+    /// Number of queries that would start up to and including the next query of `workspace` if all workspaces had equal
     /// shares.
-    pub fn position_of_next(&self, tenant: &str) -> usize {
-        let queues = || self.classes.iter().flat_map(|c| &c.tenants);
-        let own = queues().find(|t| &*t.name == tenant);
-        let others = queues().filter(|t| &*t.name != tenant);
+    pub fn position_of_next(&self, workspace: &str) -> usize {
+        let queues = || self.classes.iter().flat_map(|c| &c.workspaces);
+        let own = queues().find(|t| &*t.name == workspace);
+        let others = queues().filter(|t| &*t.name != workspace);
         let own_length = own.map_or(0, |t| t.queries.len()) + 1;
         own_length
             + others
@@ -129,8 +129,10 @@
 
     fn drop_empty_queues(&mut self) {
         for class in &mut self.classes {
-            class.tenants.retain(|tenant| !tenant.queries.is_empty());
+            class
+                .workspaces
+                .retain(|workspace| !workspace.queries.is_empty());
         }
-        self.classes.retain(|class| !class.tenants.is_empty());
+        self.classes.retain(|class| !class.workspaces.is_empty());
     }
 }
--- a/crates/core/src/keys.rs
+++ b/crates/core/src/keys.rs
@@ -7,8 +7,8 @@
     pub struct UpstreamKey;
     /// A service of the engine or of the forwarder.
     pub struct ServiceKey;
-    /// A tenant of the bundle in force.
-    pub struct TenantKey;
+    /// A workspace of the bundle in force.
+    pub struct WorkspaceKey;
     /// A queued or running query.
     pub struct QueryKey;
     /// One sub-request to one upstream. The first reply removes it, which makes duplicate replies recognisable.
--- a/crates/core/src/manifest.rs
+++ b/crates/core/src/manifest.rs
@@ -23,7 +23,7 @@
 #[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct ManifestPart {
-    /// Name of the part: `head`, `tenants`, `upstreams` or `service/NAME`.
+    /// Name of the part: `head`, `workspaces`, `upstreams` or `service/NAME`.
     pub name: String,
     /// Digest of the part's exact bytes.
     pub sha256: Digest,
@@ -44,7 +44,7 @@
         let without_tables = Bundle {
             zones: Vec::new(),
             classes: Vec::new(),
-            tenants: Vec::new(),
+            workspaces: Vec::new(),
             upstreams: Vec::new(),
             services: Vec::new(),
             ..bundle.clone()
@@ -60,9 +60,9 @@
             consents: Vec::new(),
             ..without_tables
         };
-        let tenants = Bundle {
+        let workspaces = Bundle {
             classes: bundle.classes.clone(),
-            tenants: bundle.tenants.clone(),
+            workspaces: bundle.workspaces.clone(),
             ..part_template.clone()
         };
         let upstreams = Bundle {
@@ -71,7 +71,7 @@
         };
         let mut named_parts = vec![
             ("head".to_owned(), head),
-            ("tenants".to_owned(), tenants),
+            ("tenants".to_owned(), workspaces),
             ("upstreams".to_owned(), upstreams),
         ];
         for service in &bundle.services {
@@ -127,7 +127,7 @@
                 None => bundle = Some(parsed),
                 Some(assembled) => {
                     assembled.classes.extend(parsed.classes);
-                    assembled.tenants.extend(parsed.tenants);
+                    assembled.workspaces.extend(parsed.workspaces);
                     assembled.upstreams.extend(parsed.upstreams);
                     assembled.services.extend(parsed.services);
                 }
--- a/crates/core/src/prelude.rs
+++ b/crates/core/src/prelude.rs
@@ -4,7 +4,7 @@
     answer::{Answer, Coverage, Hit, MissingReason, MissingShard},
     bundle::{
         Bundle, DeploymentLimits, LateShardPreference, LoadPolicy, Service, ServiceKind,
-        ShardLayout, Tenant, TenantClass, Upstream, UpstreamState, Zone, ZoneState,
+        ShardLayout, Upstream, UpstreamState, Workspace, WorkspaceClass, Zone, ZoneState,
     },
     bundle_diff::BundleDiff,
     chart::{Chart, Machine, Nothing, Step, Vocabulary},
@@ -32,8 +32,8 @@
     },
     forwarder::{FleetLimits, Forwarder, ForwarderSettings},
     keys::{
-        AttemptKey, BookingKey, CallerKey, FlowKey, PeerKey, QueryKey, ServiceKey, TenantKey,
-        UpstreamKey,
+        AttemptKey, BookingKey, CallerKey, FlowKey, PeerKey, QueryKey, ServiceKey, UpstreamKey,
+        WorkspaceKey,
     },
     manifest::{Manifest, ManifestPart},
     membership::{
--- a/crates/core/src/query.rs
+++ b/crates/core/src/query.rs
@@ -35,7 +35,7 @@
         DeadlinePassed = "deadline_passed",
         /// The deadline can no longer be met, and the query has not started.
         Unreachable = "unreachable",
-        /// The queue is full, and a tenant with fewer queued queries takes the query's place.
+        /// The queue is full, and a workspace with fewer queued queries takes the query's place.
         Displaced = "displaced",
         /// An upstream or the bundle no longer lists the pinned index version.
         VersionGone = "version_gone",
--- a/crates/core/src/refusal.rs
+++ b/crates/core/src/refusal.rs
@@ -32,7 +32,7 @@
         Malformed = "malformed",
         /// The body is larger than the limit.
         TooLarge = "too-large",
-        /// The token is missing, unknown or belongs to another tenant.
+        /// The token is missing, unknown or belongs to another workspace.
         Unauthenticated = "unauthenticated",
         /// The bundle has no service of this name and kind.
         UnknownService = "unknown-service",
@@ -56,7 +56,7 @@
         Quarantined = "quarantined",
         /// No upstream can take the request.
         NoUpstream = "no-upstream",
-        /// The ticket is malformed, forged or was issued to another tenant.
+        /// The ticket is malformed, forged or was issued to another workspace.
         TicketInvalid = "ticket-invalid",
         /// The ticket expired before it was redeemed.
         TicketExpired = "ticket-expired",
--- a/crates/core/src/search_admission.rs
+++ b/crates/core/src/search_admission.rs
@@ -33,8 +33,8 @@
     ) {
         let caller = request.caller;
         let request_id = Arc::clone(&request.request_id);
-        let tenant = Arc::clone(&request.tenant);
-        let refuse = |(kind, detail), tenant, commands: &mut Vec<Command>| {
+        let workspace = Arc::clone(&request.workspace);
+        let refuse = |(kind, detail), workspace, commands: &mut Vec<Command>| {
             let refusal = Refusal {
                 request_id,
                 kind,
@@ -43,7 +43,7 @@
             };
             commands.push(Command::Refuse {
                 caller,
-                tenant,
+                workspace,
                 refusal,
             });
         };
@@ -51,7 +51,7 @@
             Err(refused) => refuse(refused, Arc::from(""), commands),
             Ok(query) => {
                 if let Err(refused) = self.admit(cx, now, query, commands) {
-                    refuse(refused, tenant, commands);
+                    refuse(refused, workspace, commands);
                 }
             }
         }
@@ -66,11 +66,11 @@
         request: SearchRequest,
     ) -> Result<Query, RefusalReason> {
         let (bundle, deadline) = cx.check_new_work(now, request.deadline)?;
-        let tenant = cx.authenticate_or_refuse(&request.tenant, &request.token)?;
+        let workspace = cx.authenticate_or_refuse(&request.workspace, &request.token)?;
         let layout = newest_layout(&bundle, &request.service)
             .ok_or_else(|| unknown_service(&request.service))?;
         let service = self.get_or_insert_service(&bundle, layout, &request.service);
-        let class = &cx.tenants[tenant].class;
+        let class = &cx.workspaces[workspace].class;
         let preference = bundle
             .classes
             .iter()
@@ -144,7 +144,10 @@
         let state = &mut self.services[query.service];
         let needed = state.expected_query_time();
         let left = query.answer_by.since(now);
-        match state.admission.decide(&query.request.tenant, left, needed) {
+        match state
+            .admission
+            .decide(&query.request.workspace, left, needed)
+        {
             AdmissionDecision::Start => self.insert_and_start(cx, now, query, commands),
             AdmissionDecision::Wait => self.enqueue_query(cx, now, query, needed, commands)?,
             AdmissionDecision::Unreachable => {
@@ -189,17 +192,17 @@
         let Some(bundle) = cx.bundle.clone() else {
             return Ok(());
         };
-        let tenant = Arc::clone(&query.request.tenant);
+        let workspace = Arc::clone(&query.request.workspace);
         let service = query.service;
         if self.statistics().queue_length >= bundle.limits.queue_length {
             let queue = self.services[service].admission.queue();
-            let Some(displaced) = queue.displace_for(&tenant) else {
+            let Some(displaced) = queue.displace_for(&workspace) else {
                 let detail = "the queue of waiting queries is full".to_owned();
                 return Err((RefusalKind::Overloaded, detail));
             };
             self.on_event(cx, now, displaced, QueryEvent::Displaced, commands);
         }
-        let class = class_of(&bundle, &tenant);
+        let class = class_of(&bundle, &workspace);
         let at = query.answer_by - needed;
         let key = self.insert_query(query);
         self.queries[key].timer_at = Some(at);
@@ -208,7 +211,7 @@
         self.services[service]
             .admission
             .queue()
-            .push(class, &tenant, key);
+            .push(class, &workspace, key);
         Ok(())
     }
 
@@ -287,15 +290,15 @@
         };
         commands.push(Command::Refuse {
             caller: request.caller,
-            tenant: Arc::clone(&request.tenant),
+            workspace: Arc::clone(&request.workspace),
             refusal,
         });
     }
 }
 
-fn class_of<'bundle>(bundle: &'bundle Bundle, tenant: &str) -> Option<&'bundle TenantClass> {
-    let tenant = bundle.tenants.iter().find(|t| t.name == tenant)?;
-    bundle.classes.iter().find(|c| c.name == tenant.class)
+fn class_of<'bundle>(bundle: &'bundle Bundle, workspace: &str) -> Option<&'bundle WorkspaceClass> {
+    let workspace = bundle.workspaces.iter().find(|t| t.name == workspace)?;
+    bundle.classes.iter().find(|c| c.name == workspace.class)
 }
 
 fn unknown_service(service: &str) -> RefusalReason {
--- a/crates/core/src/search_answers.rs
+++ b/crates/core/src/search_answers.rs
@@ -43,11 +43,11 @@
         let query = &mut self.queries[key];
         let merger = std::mem::replace(&mut query.merger, HitMerger::new("", 0));
         let mut hits = merger.into_hits();
-        let tenant = cx
-            .tenants
+        let workspace = cx
+            .workspaces
             .values()
-            .find(|tenant| tenant.name == *query.request.tenant);
-        let firms = tenant.map_or(&[][..], |tenant| &tenant.firms);
+            .find(|workspace| workspace.name == *query.request.workspace);
+        let firms = workspace.map_or(&[][..], |workspace| &workspace.firms);
         for hit in &mut hits {
             if !firms.contains(&hit.owner) {
                 hit.private = None;
@@ -63,7 +63,7 @@
         };
         commands.push(Command::AnswerQuery {
             caller: query.request.caller,
-            tenant: Arc::clone(&query.request.tenant),
+            workspace: Arc::clone(&query.request.workspace),
             answer,
         });
     }
--- a/crates/core/src/ticket.rs
+++ b/crates/core/src/ticket.rs
@@ -18,7 +18,7 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Presented {}
 
-/// State of a ticket that this process issued to the tenant that presents it.
+/// State of a ticket that this process issued to the workspace that presents it.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Authentic {}
 
@@ -68,8 +68,8 @@
         })
     }
 
-    /// Returns the ticket as authentic if the holder of `key` issued it to `tenant`. Compares in constant time.
-    pub fn verify(self, key: &[u8; 32], tenant: &str) -> Option<Ticket<Authentic>> {
+    /// Returns the ticket as authentic if the holder of `key` issued it to `workspace`. Compares in constant time.
+    pub fn verify(self, key: &[u8; 32], workspace: &str) -> Option<Ticket<Authentic>> {
         use subtle::ConstantTimeEq as _;
         let mac = compute_mac(
             key,
@@ -77,7 +77,7 @@
             self.start,
             self.number,
             self.expires,
-            tenant,
+            workspace,
         );
         let Self {
             node,
@@ -99,15 +99,15 @@
 }
 
 impl Ticket<Authentic> {
-    /// Creates a ticket for `tenant`, authenticated with `key`.
+    /// Creates a ticket for `workspace`, authenticated with `key`.
     pub(crate) fn issue(
         key: &[u8; 32],
         (node, start): (&str, u64),
         number: u64,
         expires: Timestamp,
-        tenant: &str,
+        workspace: &str,
     ) -> Self {
-        let mac = compute_mac(key, node, start, number, expires, tenant);
+        let mac = compute_mac(key, node, start, number, expires, workspace);
         Self {
             node: node.to_owned(),
             start,
@@ -155,11 +155,11 @@
     start: u64,
     number: u64,
     expires: Timestamp,
-    tenant: &str,
+    workspace: &str,
 ) -> [u8; MAC_BYTES] {
     let mut hmac = Hmac::<Sha256>::new_from_slice(key).expect("HMAC takes keys of any length");
     // Length prefixes keep the texts apart, so that no two tickets have the same input.
-    for text in [node, tenant] {
+    for text in [node, workspace] {
         hmac.update(&(text.len() as u64).to_be_bytes());
         hmac.update(text.as_bytes());
     }
--- a/crates/core/src/ticket_registry.rs
+++ b/crates/core/src/ticket_registry.rs
@@ -81,7 +81,7 @@
     }
 
     /// Issues a ticket, or `None` if [`MAX_TICKETS`] are in use.
-    pub fn issue(&mut self, now: Timestamp, tenant: &str) -> Option<Ticket<Authentic>> {
+    pub fn issue(&mut self, now: Timestamp, workspace: &str) -> Option<Ticket<Authentic>> {
         self.evict_expired(now);
         if self.issued.len() >= MAX_TICKETS {
             return None;
@@ -95,7 +95,7 @@
             (&self.node, self.start),
             number,
             expires,
-            tenant,
+            workspace,
         ))
     }
 
@@ -106,7 +106,7 @@
         &mut self,
         now: Timestamp,
         text: &str,
-        tenant: &str,
+        workspace: &str,
         content: Digest,
     ) -> Redemption {
         self.evict_expired(now);
@@ -119,7 +119,7 @@
         if ticket.start() != self.start {
             return Redemption::Refused(RefusalKind::TicketStartGone, Execution::Unknown);
         }
-        match ticket.verify(&self.key, tenant) {
+        match ticket.verify(&self.key, workspace) {
             Some(ticket) => self.redeem_authentic(now, ticket, content),
             None => Redemption::Refused(RefusalKind::TicketInvalid, Execution::NotRun),
         }
--- a/crates/core/src/validation_error.rs
+++ b/crates/core/src/validation_error.rs
@@ -31,7 +31,7 @@
         Duplicate = "duplicate",
         /// An upstream refers to a zone that is not defined.
         UnknownZone = "unknown-zone",
-        /// A tenant refers to a class that is not defined.
+        /// A workspace refers to a class that is not defined.
         UnknownClass = "unknown-class",
         /// A service refers to an upstream that is not defined.
         UnknownUpstream = "unknown-upstream",
@@ -47,7 +47,7 @@
         WrongKind = "wrong-kind",
         /// A booking service has no upstreams.
         NoUpstreams = "no-upstreams",
-        /// A tenant has the hash of the empty token, which would match a caller without a token.
+        /// A workspace has the hash of the empty token, which would match a caller without a token.
         EmptyToken = "empty-token",
         /// Every zone is out.
         AllZonesOut = "all-zones-out",
--- a/crates/core/tests/bookings.rs
+++ b/crates/core/tests/bookings.rs
@@ -164,7 +164,7 @@
                     caller: CallerKey::default(),
                     request_id: Arc::from("r"),
                     token: Arc::from(fixtures::TOKEN),
-                    tenant: Arc::from(fixtures::TENANT),
+                    workspace: Arc::from(fixtures::WORKSPACE),
                 };
                 self.deliver(*node, Event::Ticket(request));
             }
@@ -239,7 +239,7 @@
             caller,
             request_id: Arc::from("r"),
             token: Arc::from(fixtures::TOKEN),
-            tenant: Arc::from(fixtures::TENANT),
+            workspace: Arc::from(fixtures::WORKSPACE),
             service: Arc::from("book"),
             ticket: Arc::from(ticket),
             booking: Arc::from(format!("{{\"body\":{body}}}")),
--- a/crates/core/tests/bundle_check.rs
+++ b/crates/core/tests/bundle_check.rs
@@ -78,7 +78,7 @@
 fn all_errors_are_reported_at_once_with_location_and_remedy() {
     let mut bundle = bundle();
     bundle.upstreams[0].zone = "pl-x".to_owned();
-    bundle.tenants[0].class = "phone".to_owned();
+    bundle.workspaces[0].class = "phone".to_owned();
     bundle.services[0].layouts[0].shards[1] = vec!["u-9".to_owned(), "u-1".to_owned()];
 
     let errors = check(&bundle, None);
@@ -106,13 +106,13 @@
         ("unknown-consent", |b| {
             b.consents = vec!["format".to_owned()];
         }),
-        ("list-length", |b| b.tenants.clear()),
-        ("list-length", |b| b.tenants[0].token_sha256.clear()),
+        ("list-length", |b| b.workspaces.clear()),
+        ("list-length", |b| b.workspaces[0].token_sha256.clear()),
         ("list-length", |b| {
-            b.tenants[0].token_sha256 = (0..5).map(|n| Digest([n; 32])).collect();
+            b.workspaces[0].token_sha256 = (0..5).map(|n| Digest([n; 32])).collect();
         }),
         ("empty-token", |b| {
-            b.tenants[0].token_sha256[0] = Digest::of(b"");
+            b.workspaces[0].token_sha256[0] = Digest::of(b"");
         }),
         ("number-range", |b| b.limits.capacity_floor = f64::NAN),
         ("number-range", |b| b.limits.max_deadline_ms = 60_001),
@@ -158,13 +158,13 @@
 }
 
 #[test]
-fn token_shared_by_two_tenants_is_an_error() {
+fn token_shared_by_two_workspaces_is_an_error() {
     let error_codes = error_codes_after_change(|bundle| {
-        let second = Tenant {
+        let second = Workspace {
             name: "firm".to_owned(),
-            ..bundle.tenants[0].clone()
+            ..bundle.workspaces[0].clone()
         };
-        bundle.tenants.push(second);
+        bundle.workspaces.push(second);
     });
 
     assert_eq!(error_codes, ["duplicate"]);
@@ -255,7 +255,7 @@
         ..old.upstreams[1].clone()
     });
     new.limits.max_results = 500;
-    new.tenants[0].firms = vec!["firm-0".to_owned()];
+    new.workspaces[0].firms = vec!["firm-0".to_owned()];
     let mut newer = new.services[0].layouts[0].clone();
     newer.index_version = 42;
     new.services[0].layouts.push(newer);
@@ -271,7 +271,7 @@
     assert_eq!(diff.index_added, ["slot-search 42"]);
     assert_eq!(diff.index_removed, [""; 0]);
     assert_eq!(diff.services_changed, ["slot-search"]);
-    assert_eq!(diff.tenants_changed, ["labs"]);
+    assert_eq!(diff.workspaces_changed, ["labs"]);
     assert_eq!(diff.limits_changed, ["limits.max_results: 1000 -> 500"]);
     assert!((diff.capacity_in.0 - 1.0).abs() < 1e-9);
     assert!((diff.capacity_in.1 - 1.0 / 3.0).abs() < 1e-9);
--- a/crates/core/tests/bundle_signatures.rs
+++ b/crates/core/tests/bundle_signatures.rs
@@ -64,7 +64,7 @@
             })
             .collect(),
         classes: Vec::new(),
-        tenants: Vec::new(),
+        workspaces: Vec::new(),
         upstreams: (0..upstreams)
             .map(|n| Upstream {
                 name: format!("u-{n}"),
--- a/crates/core/tests/fleet_model/mod.rs
+++ b/crates/core/tests/fleet_model/mod.rs
@@ -258,7 +258,7 @@
                 caller: CallerKey::default(),
                 request_id: Arc::from("r"),
                 token: Arc::from(fixtures::TOKEN),
-                tenant: Arc::from(fixtures::TENANT),
+                workspace: Arc::from(fixtures::WORKSPACE),
                 service: Arc::from("find"),
                 query: Arc::from("q"),
                 limit: 1,
--- a/crates/core/tests/policy_parts.rs
+++ b/crates/core/tests/policy_parts.rs
@@ -1,4 +1,4 @@
-//! Guards against faults in the parts of the search policy: unfair queueing between classes and tenants, inaccurate
+//! Guards against faults in the parts of the search policy: unfair queueing between classes and workspaces, inaccurate
 //! quantiles, an unbounded retry budget, and a concurrency limit that does not follow congestion.
 
 use medlarpost_core::{
@@ -13,20 +13,20 @@
 }
 
 #[test]
-fn queue_serves_classes_by_weight_and_tenants_in_turn() {
+fn queue_serves_classes_by_weight_and_workspaces_in_turn() {
     let keys = keys(300);
-    let tenants: [Arc<str>; 3] = ["a", "b", "c"].map(Arc::from);
+    let workspaces: [Arc<str>; 3] = ["a", "b", "c"].map(Arc::from);
     let mut queue = FairQueue::default();
     let mut owner = HashMap::new();
     for (position, key) in keys.iter().enumerate() {
-        let tenant = position / 100;
-        let class = if tenant == 2 {
+        let workspace = position / 100;
+        let class = if workspace == 2 {
             ("light", 1)
         } else {
             ("heavy", 3)
         };
-        queue.push(class, &tenants[tenant], *key);
-        owner.insert(*key, tenant);
+        queue.push(class, &workspaces[workspace], *key);
+        owner.insert(*key, workspace);
     }
 
     let mut counts = [0; 3];
--- a/crates/core/tests/query_sim/mod.rs
+++ b/crates/core/tests/query_sim/mod.rs
@@ -10,11 +10,11 @@
 /// Name of the search service in [`bundle`].
 pub const SERVICE: &str = "slot-search";
 
-/// Token of every tenant in [`bundle`].
+/// Token of every workspace in [`bundle`].
 pub const TOKEN: &str = "secret";
 
 /// A bundle with one search service. Its upstreams are named `s<shard>r<replica>` and are in the zones `z<replica>`.
-/// The tenant `labs` prefers coverage, and the tenant `firms` prefers a short tail.
+/// The workspace `labs` prefers coverage, and the workspace `firms` prefers a short tail.
 pub fn bundle(shards: u32, replicas: u32, slots: u32) -> Bundle {
     let name = |shard, replica| format!("s{shard}r{replica}");
     let upstream = |shard: u32, replica: u32| Upstream {
@@ -37,7 +37,7 @@
         region: "centre".to_owned(),
         state: ZoneState::In,
     };
-    let class = |name: &str, prefer| TenantClass {
+    let class = |name: &str, prefer| WorkspaceClass {
         name: name.to_owned(),
         prefer,
         weight: 1,
@@ -54,7 +54,7 @@
             class("wide", LateShardPreference::Coverage),
             class("fast", LateShardPreference::Tail),
         ],
-        tenants: vec![tenant("labs", "wide"), tenant("firms", "fast")],
+        workspaces: vec![workspace("labs", "wide"), workspace("firms", "fast")],
         upstreams: (0..shards)
             .flat_map(|shard| (0..replicas).map(move |replica| upstream(shard, replica)))
             .collect(),
@@ -67,9 +67,9 @@
     }
 }
 
-/// A tenant that owns the documents of the firm with the same name.
-pub fn tenant(name: &str, class: &str) -> Tenant {
-    Tenant {
+/// A workspace that owns the documents of the firm with the same name.
+pub fn workspace(name: &str, class: &str) -> Workspace {
+    Workspace {
         name: name.to_owned(),
         class: class.to_owned(),
         token_sha256: vec![Digest::of(TOKEN.as_bytes())],
@@ -112,13 +112,13 @@
     }
 }
 
-/// A query of `tenant` for the service of [`bundle`].
-pub fn search_request(tenant: &str, query: &str, deadline_ms: u64) -> SearchRequest {
+/// A query of `workspace` for the service of [`bundle`].
+pub fn search_request(workspace: &str, query: &str, deadline_ms: u64) -> SearchRequest {
     SearchRequest {
         caller: CallerKey::default(),
-        request_id: Arc::from(format!("{tenant}-1")),
+        request_id: Arc::from(format!("{workspace}-1")),
         token: Arc::from(TOKEN),
-        tenant: Arc::from(tenant),
+        workspace: Arc::from(workspace),
         service: Arc::from(SERVICE),
         query: Arc::from(query),
         limit: 10,
--- a/crates/core/tests/searches/interleavings.rs
+++ b/crates/core/tests/searches/interleavings.rs
@@ -331,12 +331,12 @@
             results: 0,
             gone: false,
         });
-        let tenant = if labs { "labs" } else { "firms" };
+        let workspace = if labs { "labs" } else { "firms" };
         let request = SearchRequest {
             caller,
             request_id: Arc::from(format!("request-{}", self.serial)),
             limit: 100,
-            ..search_request(tenant, &text, deadline_ms)
+            ..search_request(workspace, &text, deadline_ms)
         };
         self.handle(Event::Search(request))
     }
--- a/crates/core/tests/searches/overload.rs
+++ b/crates/core/tests/searches/overload.rs
@@ -1,7 +1,9 @@
 //! Guards against an overload that wastes capacity or lasts longer than its cause, and against unfair or untrue
 //! refusals.
 
-use crate::query_sim::{Behaviour, Response, SERVICE, Simulation, bundle, search_request, tenant};
+use crate::query_sim::{
+    Behaviour, Response, SERVICE, Simulation, bundle, search_request, workspace,
+};
 use medlarpost_core::prelude::*;
 
 /// Queries per second that the upstreams of [`simulation`] can run: 3 replicas of 3 slots, 10 ms each.
@@ -9,19 +11,19 @@
 
 fn simulation() -> Simulation {
     let mut bundle = bundle(8, 3, 3);
-    bundle.tenants.push(tenant("small", "wide"));
+    bundle.workspaces.push(workspace("small", "wide"));
     Simulation::new(PolicyMode::Adaptive, &bundle, |rng, _, _| {
         Behaviour::Answer(Duration::from_micros(8_000 + rng.u64(0..4_000)))
     })
 }
 
 /// Schedules random arrivals at `rate` queries per second from `from` to `to`, in seconds.
-fn offer_queries(simulation: &mut Simulation, (from, to): (f64, f64), rate: f64, tenant: &str) {
+fn offer_queries(simulation: &mut Simulation, (from, to): (f64, f64), rate: f64, workspace: &str) {
     let mut at = from;
     while at < to {
         let micros = Timestamp::from_micros((at * 1e6) as u64);
         let text = format!("query {}", simulation.rng.u32(0..100));
-        simulation.search_at(micros, search_request(tenant, &text, 130));
+        simulation.search_at(micros, search_request(workspace, &text, 130));
         at -= (1.0 - simulation.rng.f64()).ln() / rate;
     }
 }
@@ -85,7 +87,7 @@
 }
 
 #[test]
-fn small_tenant_keeps_its_share_beside_a_large_one() {
+fn small_workspace_keeps_its_share_beside_a_large_one() {
     let mut simulation = simulation();
     offer_queries(&mut simulation, (0.0, 4.0), CAPACITY_PER_S * 3.0, "labs");
     offer_queries(&mut simulation, (0.0, 4.0), CAPACITY_PER_S * 0.2, "small");
@@ -109,7 +111,7 @@
 }
 
 #[test]
-fn full_queue_displaces_queries_of_the_tenant_with_the_most() {
+fn full_queue_displaces_queries_of_the_workspace_with_the_most() {
     let mut bundle = bundle(1, 1, 1);
     bundle.limits.queue_length = 4;
     let mut simulation = Simulation::new(PolicyMode::Adaptive, &bundle, |_, _, _| {
--- a/crates/core/tests/searches/snapshots.rs
+++ b/crates/core/tests/searches/snapshots.rs
@@ -169,7 +169,7 @@
 }
 
 #[test]
-fn private_fields_reach_only_the_tenant_of_the_firm() {
+fn private_fields_reach_only_the_workspace_of_the_firm() {
     let mut simulation = Simulation::new(PolicyMode::Adaptive, &bundle(2, 1, 1), answer_after(5));
     let own = simulation.search_at(
         Timestamp::from_millis(1),
--- a/crates/core/tests/searches/waiting.rs
+++ b/crates/core/tests/searches/waiting.rs
@@ -1,5 +1,5 @@
 //! Guards against shards that are given up too early, work that can't finish in time, and waiting against the
-//! preference of the tenant's class.
+//! preference of the workspace's class.
 
 use crate::query_sim::{Behaviour, Simulation, bundle, search_request};
 use medlarpost_core::prelude::*;
@@ -18,14 +18,14 @@
     })
 }
 
-fn query_with_silent_shard(tenant: &str) -> (Simulation, CallerKey) {
+fn query_with_silent_shard(workspace: &str) -> (Simulation, CallerKey) {
     let mut simulation = simulation_with_silent_shard();
     for number in 0..40 {
         let at = Timestamp::from_millis(1 + number * 20);
-        simulation.search_at(at, search_request(tenant, "warm up", 500));
+        simulation.search_at(at, search_request(workspace, "warm up", 500));
     }
     let at = Timestamp::from_millis(2_000);
-    let caller = simulation.search_at(at, search_request(tenant, "warm up", 500));
+    let caller = simulation.search_at(at, search_request(workspace, "warm up", 500));
     simulation.run_until(Timestamp::from_millis(4_000));
     (simulation, caller)
 }
--- a/crates/core/tests/tickets.rs
+++ b/crates/core/tests/tickets.rs
@@ -5,7 +5,7 @@
     ticket_registry::{RECORD_RETENTION, Redemption, TICKET_LIFETIME, TicketRegistry},
 };
 
-const TENANT: &str = "aerospace-labs";
+const WORKSPACE: &str = "aerospace-labs";
 
 fn registry(node: &str, start: u64) -> TicketRegistry {
     TicketRegistry::new(node, start, [7; 32])
@@ -37,10 +37,10 @@
     medlarpost_core::ticket::Ticket<medlarpost_core::ticket::Authentic>,
 ) {
     let text = registry
-        .issue(Timestamp::ZERO, TENANT)
+        .issue(Timestamp::ZERO, WORKSPACE)
         .expect("the registry is not full")
         .to_string();
-    let redemption = registry.redeem(Timestamp::ZERO, &text, TENANT, content());
+    let redemption = registry.redeem(Timestamp::ZERO, &text, WORKSPACE, content());
     let Redemption::Granted(ticket) = redemption else {
         panic!("a new ticket is granted: {redemption:?}")
     };
@@ -53,7 +53,7 @@
     let mut registry = registry("node-1", 1);
     let (text, _) = redeem_new_ticket(&mut registry);
 
-    let repeat = registry.redeem(Timestamp::ZERO, &text, TENANT, content());
+    let repeat = registry.redeem(Timestamp::ZERO, &text, WORKSPACE, content());
 
     assert_eq!(repeat, Redemption::InProgress(BookingKey::default()));
 }
@@ -64,7 +64,12 @@
     let (text, ticket) = redeem_new_ticket(&mut registry);
     registry.record_reply(&ticket, reply());
 
-    let repeat = registry.redeem(Timestamp::ZERO + TICKET_LIFETIME, &text, TENANT, content());
+    let repeat = registry.redeem(
+        Timestamp::ZERO + TICKET_LIFETIME,
+        &text,
+        WORKSPACE,
+        content(),
+    );
 
     assert!(
         matches!(&repeat, Redemption::Completed { reply: recorded, .. } if *recorded == reply()),
@@ -78,7 +83,7 @@
     let (text, ticket) = redeem_new_ticket(&mut registry);
     registry.record_unknown(&ticket);
 
-    let repeat = registry.redeem(Timestamp::ZERO, &text, TENANT, content());
+    let repeat = registry.redeem(Timestamp::ZERO, &text, WORKSPACE, content());
 
     assert_eq!(repeat, Redemption::OutcomeUnknown);
 }
@@ -86,11 +91,11 @@
 #[test]
 fn ticket_of_an_earlier_start_is_refused_with_unknown_execution() {
     let text = registry("node-1", 1)
-        .issue(Timestamp::ZERO, TENANT)
+        .issue(Timestamp::ZERO, WORKSPACE)
         .expect("the registry is not full")
         .to_string();
 
-    let after_restart = registry("node-1", 2).redeem(Timestamp::ZERO, &text, TENANT, content());
+    let after_restart = registry("node-1", 2).redeem(Timestamp::ZERO, &text, WORKSPACE, content());
 
     assert_eq!(
         refused(&after_restart),
@@ -101,11 +106,11 @@
 #[test]
 fn ticket_of_another_node_names_that_node() {
     let text = registry("node-1", 1)
-        .issue(Timestamp::ZERO, TENANT)
+        .issue(Timestamp::ZERO, WORKSPACE)
         .expect("the registry is not full")
         .to_string();
 
-    let elsewhere = registry("node-2", 1).redeem(Timestamp::ZERO, &text, TENANT, content());
+    let elsewhere = registry("node-2", 1).redeem(Timestamp::ZERO, &text, WORKSPACE, content());
 
     assert_eq!(elsewhere, Redemption::OtherNode("node-1".to_owned()));
 }
@@ -114,13 +119,13 @@
 fn expired_ticket_is_refused_as_not_run_only_while_records_are_kept() {
     let mut registry = registry("node-1", 1);
     let text = registry
-        .issue(Timestamp::ZERO, TENANT)
+        .issue(Timestamp::ZERO, WORKSPACE)
         .expect("the registry is not full")
         .to_string();
     let expired = Timestamp::ZERO + TICKET_LIFETIME;
 
-    let within = registry.redeem(expired, &text, TENANT, content());
-    let after = registry.redeem(expired + RECORD_RETENTION, &text, TENANT, content());
+    let within = registry.redeem(expired, &text, WORKSPACE, content());
+    let after = registry.redeem(expired + RECORD_RETENTION, &text, WORKSPACE, content());
 
     assert_eq!(
         refused(&within),
@@ -137,7 +142,7 @@
     let mut registry = registry("node-1", 1);
     let (text, _) = redeem_new_ticket(&mut registry);
 
-    let other = registry.redeem(Timestamp::ZERO, &text, TENANT, Digest::of(b"tunnel 5"));
+    let other = registry.redeem(Timestamp::ZERO, &text, WORKSPACE, Digest::of(b"tunnel 5"));
 
     assert_eq!(
         refused(&other),
@@ -146,19 +151,19 @@
 }
 
 #[test]
-fn ticket_with_a_forged_number_or_another_tenant_is_refused() {
+fn ticket_with_a_forged_number_or_another_workspace_is_refused() {
     let mut registry = registry("node-1", 1);
     let text = registry
-        .issue(Timestamp::ZERO, TENANT)
+        .issue(Timestamp::ZERO, WORKSPACE)
         .expect("the registry is not full")
         .to_string();
     let forged = text.replace(".1.0.", ".1.1.");
 
-    let other_tenant = registry.redeem(Timestamp::ZERO, &text, "tunelix", content());
-    let other_number = registry.redeem(Timestamp::ZERO, &forged, TENANT, content());
+    let other_workspace = registry.redeem(Timestamp::ZERO, &text, "tunelix", content());
+    let other_number = registry.redeem(Timestamp::ZERO, &forged, WORKSPACE, content());
 
     assert_eq!(
-        refused(&other_tenant),
+        refused(&other_workspace),
         Some((RefusalKind::TicketInvalid, Execution::NotRun))
     );
     assert_eq!(
@@ -172,7 +177,7 @@
 fn signs_are_no_hexadecimal_digits() {
     let mut registry = registry("node-1", 1);
     let text = registry
-        .issue(Timestamp::ZERO, TENANT)
+        .issue(Timestamp::ZERO, WORKSPACE)
         .expect("the registry is not full")
         .to_string();
     let signed_number = text.replacen("node-1.1.", "node-1.+1.", 1);
@@ -182,7 +187,7 @@
 
     let mut is_invalid = |text: &String| {
         matches!(
-            registry.redeem(Timestamp::ZERO, text, TENANT, content()),
+            registry.redeem(Timestamp::ZERO, text, WORKSPACE, content()),
             Redemption::Refused(RefusalKind::TicketInvalid, _)
         )
     };
--- a/crates/fakes/src/deployment.rs
+++ b/crates/fakes/src/deployment.rs
@@ -1,8 +1,8 @@
-//! Sizes, zones and tenants of the two deployments that demonstrations and tests imitate.
+//! Sizes, zones and workspaces of the two deployments that demonstrations and tests imitate.
 
 use crate::prelude::*;
 
-/// Sizes, zones and tenants of a deployment.
+/// Sizes, zones and workspaces of a deployment.
 #[derive(Clone, Debug)]
 pub struct Deployment {
     /// Name by which flags and bundles refer to the deployment.
@@ -19,10 +19,10 @@
     pub search: UpstreamPool,
     /// Upstreams of the booking service.
     pub booking: UpstreamPool,
-    /// What the tenants prefer when shards are late.
+    /// What the workspaces prefer when shards are late.
     pub prefer: LateShardPreference,
-    /// Names of the tenants.
-    pub tenants: &'static [&'static str],
+    /// Names of the workspaces.
+    pub workspaces: &'static [&'static str],
     /// Number of nodes.
     pub nodes: usize,
 }
@@ -80,7 +80,7 @@
                 connect_ms: 1,
             },
             prefer: LateShardPreference::Coverage,
-            tenants: &["aerospace-labs", "tunelix"],
+            workspaces: &["aerospace-labs", "tunelix"],
             nodes: 5,
         }
     }
@@ -110,7 +110,7 @@
                 connect_ms: 1,
             },
             prefer: LateShardPreference::Tail,
-            tenants: &["firm-0", "firm-1", "firm-2"],
+            workspaces: &["firm-0", "firm-1", "firm-2"],
             nodes: 4,
         }
     }
@@ -122,9 +122,9 @@
             .find(|deployment| deployment.name == name)
     }
 
-    /// Bearer token of a tenant in demonstrations.
-    pub fn demo_token(tenant: &str) -> String {
-        format!("demo-token-of-{tenant}")
+    /// Bearer token of a workspace in demonstrations.
+    pub fn demo_token(workspace: &str) -> String {
+        format!("demo-token-of-{workspace}")
     }
 
     /// Builds a bundle for the upstreams at these addresses, by name. Upstreams without an address are left out of its
@@ -155,12 +155,12 @@
                     state: ZoneState::In,
                 })
                 .collect(),
-            classes: vec![TenantClass {
+            classes: vec![WorkspaceClass {
                 name: "standard".to_owned(),
                 prefer: self.prefer,
                 weight: 1,
             }],
-            tenants: self.tenants.iter().map(|name| tenant(name)).collect(),
+            workspaces: self.workspaces.iter().map(|name| workspace(name)).collect(),
             upstreams: [self.search, self.booking]
                 .iter()
                 .flat_map(|pool| self.upstreams(pool, addresses))
@@ -208,8 +208,8 @@
     }
 }
 
-fn tenant(name: &str) -> Tenant {
-    Tenant {
+fn workspace(name: &str) -> Workspace {
+    Workspace {
         name: name.to_owned(),
         class: "standard".to_owned(),
         token_sha256: vec![Digest::of(Deployment::demo_token(name).as_bytes())],
--- a/crates/medlarctl/src/booking_load.rs
+++ b/crates/medlarctl/src/booking_load.rs
@@ -25,7 +25,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct BookingLoad {
     pub(crate) service: &'static str,
-    pub(crate) tenants: &'static [&'static str],
+    pub(crate) workspaces: &'static [&'static str],
     pub(crate) caller_delay: Duration,
     pub(crate) end: Instant,
     pub(crate) seed: u64,
@@ -34,7 +34,7 @@
 /// The caller of one booking.
 struct BookingCaller {
     targets: Targets,
-    tenant: &'static str,
+    workspace: &'static str,
     service: &'static str,
     caller_delay: Duration,
     content: Arc<str>,
@@ -52,7 +52,7 @@
             let content = json!({"slot": number, "crew": rng.u32(..1_000)});
             let booking_caller = BookingCaller {
                 targets: targets.clone(),
-                tenant: self.tenants[rng.usize(..self.tenants.len())],
+                workspace: self.workspaces[rng.usize(..self.workspaces.len())],
                 service: self.service,
                 caller_delay: self.caller_delay,
                 content: content.to_string().into(),
@@ -105,9 +105,9 @@
         let target = self.pick_target()?;
         let call = Call {
             path: "/v1/tickets",
-            tenant: self.tenant,
+            workspace: self.workspace,
             request_id: None,
-            body: json!({"tenant": self.tenant}),
+            body: json!({"tenant": self.workspace}),
             delay: self.caller_delay,
         };
         match caller::send::<TicketReply>(&target, call).await {
@@ -121,10 +121,10 @@
         let booking = RawValue::from_string(self.content.to_string()).ok();
         let call = Call {
             path: "/v1/bookings",
-            tenant: self.tenant,
+            workspace: self.workspace,
             request_id: None,
             body: json!({
-                "tenant": self.tenant,
+                "tenant": self.workspace,
                 "service": self.service,
                 "ticket": ticket,
                 "booking": booking,
--- a/crates/medlarctl/src/bundle_command.rs
+++ b/crates/medlarctl/src/bundle_command.rs
@@ -143,7 +143,7 @@
         bundle.deployment,
         bundle.version,
         bundle.zones.len(),
-        bundle.tenants.len(),
+        bundle.workspaces.len(),
         bundle.upstreams.len(),
         bundle.services.len(),
         100.0 * active_capacity_share(bundle),
--- a/crates/medlarctl/src/caller.rs
+++ b/crates/medlarctl/src/caller.rs
@@ -1,4 +1,4 @@
-//! Sends one request of a tenant to a node and reads the response.
+//! Sends one request of a workspace to a node and reads the response.
 
 use crate::{
     balancer::Target,
@@ -22,11 +22,11 @@
     Lost(Loss),
 }
 
-/// One request of a tenant.
+/// One request of a workspace.
 #[derive(Clone, Debug)]
 pub(crate) struct Call<'a> {
     pub(crate) path: &'static str,
-    pub(crate) tenant: &'a str,
+    pub(crate) workspace: &'a str,
     pub(crate) request_id: Option<&'a str>,
     pub(crate) body: serde_json::Value,
     /// Simulated network delay between caller and node, one way.
@@ -54,7 +54,7 @@
         .post(format!("http://{}{}", target.address, call.path))
         .insert_header((
             "authorization",
-            format!("Bearer {}", Deployment::demo_token(call.tenant)),
+            format!("Bearer {}", Deployment::demo_token(call.workspace)),
         ));
     if let Some(id) = call.request_id {
         request = request.insert_header(("x-request-id", id));
--- a/crates/medlarctl/src/config_probe.rs
+++ b/crates/medlarctl/src/config_probe.rs
@@ -1,4 +1,4 @@
-//! Finds out which bundle is in force on each node: every bundle adds a tenant with a token of its own, and a node
+//! Finds out which bundle is in force on each node: every bundle adds a workspace with a token of its own, and a node
 //! accepts that token only once it has that bundle or a later one.
 
 use crate::{
@@ -20,8 +20,8 @@
     pub(crate) at: Instant,
 }
 
-/// Name of the tenant that the bundle of this version adds.
-pub(crate) fn probe_tenant(version: u64) -> String {
+/// Name of the workspace that the bundle of this version adds.
+pub(crate) fn probe_workspace(version: u64) -> String {
     format!("probe-{version}")
 }
 
@@ -84,13 +84,13 @@
 
 /// Whether a node accepts the token of this version; `None` if its reply doesn't show it.
 async fn accepts_token(target: &crate::balancer::Target, version: u64) -> Option<bool> {
-    let tenant = probe_tenant(version);
+    let workspace = probe_workspace(version);
     let call = Call {
         path: "/v1/search",
-        tenant: &tenant,
+        workspace: &workspace,
         request_id: None,
         // The service does not exist, so an accepted token gives `unknown-service` and no work reaches an upstream.
-        body: json!({"tenant": tenant, "service": "probe", "query": "", "deadline_ms": 1_000}),
+        body: json!({"tenant": workspace, "service": "probe", "query": "", "deadline_ms": 1_000}),
         delay: Duration::ZERO,
     };
     match caller::send::<serde_json::Value>(target, call).await {
--- a/crates/medlarctl/src/crash_caller.rs
+++ b/crates/medlarctl/src/crash_caller.rs
@@ -12,7 +12,7 @@
 pub(crate) async fn run(
     targets: Targets,
     shards: watch::Receiver<BTreeMap<u64, u32>>,
-    (tenant, service): (&'static str, &'static str),
+    (workspace, service): (&'static str, &'static str),
     number: u64,
 ) {
     for attempt in 0..ATTEMPTS {
@@ -22,7 +22,7 @@
         };
         let query = Query {
             number,
-            tenant,
+            workspace,
             service,
             id: QueryId {
                 text: format!("{CRASH_TEXT} {number}").into(),
--- a/crates/medlarctl/src/demo.rs
+++ b/crates/medlarctl/src/demo.rs
@@ -30,7 +30,7 @@
 /// Parameters of one demonstration.
 #[derive(Clone, Debug)]
 pub struct DemoOptions {
-    /// Tenants, zones, nodes and upstreams to start.
+    /// Workspaces, zones, nodes and upstreams to start.
     pub deployment: Deployment,
     /// Time under load that is measured, after the warm-up.
     pub duration: Duration,
@@ -146,7 +146,7 @@
     let capacity = TestBed::capacity(&options.deployment);
     SearchLoad {
         service: options.deployment.search.service,
-        tenants: options.deployment.tenants,
+        workspaces: options.deployment.workspaces,
         caller_delay: options.deployment.caller_delay,
         rate: options.rate.map_or(NORMAL_LOAD_SHARE * capacity, f64::from),
         capacity,
@@ -160,7 +160,7 @@
 fn booking_load(options: &DemoOptions, end: Instant) -> BookingLoad {
     BookingLoad {
         service: options.deployment.booking.service,
-        tenants: options.deployment.tenants,
+        workspaces: options.deployment.workspaces,
         caller_delay: options.deployment.caller_delay,
         end,
         seed: options.seed,
--- a/crates/medlarctl/src/demo_report.rs
+++ b/crates/medlarctl/src/demo_report.rs
@@ -39,7 +39,7 @@
     coverage_sum: f64,
     full_coverage: u64,
     latency: Histogram<u64>,
-    latency_by_tenant: BTreeMap<&'static str, Histogram<u64>>,
+    latency_by_workspace: BTreeMap<&'static str, Histogram<u64>>,
 }
 
 impl DemoReport {
@@ -90,7 +90,7 @@
             coverage_sum: 0.0,
             full_coverage: 0,
             latency: latency_histogram(),
-            latency_by_tenant: BTreeMap::new(),
+            latency_by_workspace: BTreeMap::new(),
         };
         for query in queries {
             totals.record(query);
@@ -108,8 +108,8 @@
                 self.full_coverage += u64::from(answered == shards);
                 let micros = query.latency.as_micros() as u64;
                 self.latency.saturating_record(micros);
-                let tenant = self.latency_by_tenant.entry(query.tenant);
-                tenant
+                let workspace = self.latency_by_workspace.entry(query.workspace);
+                workspace
                     .or_insert_with(latency_histogram)
                     .saturating_record(micros);
             }
@@ -129,10 +129,10 @@
 
     fn write_to(&self, values: &mut Value) {
         let answered = self.answered.max(1) as f64;
-        let tenants: serde_json::Map<_, _> = self
-            .latency_by_tenant
+        let workspaces: serde_json::Map<_, _> = self
+            .latency_by_workspace
             .iter()
-            .map(|(tenant, latency)| ((*tenant).to_owned(), latency_summary(latency)))
+            .map(|(workspace, latency)| ((*workspace).to_owned(), latency_summary(latency)))
             .collect();
         values["queries"] = json!(self.queries);
         values["answered"] = json!(self.answered);
@@ -145,7 +145,7 @@
         values["coverage_mean"] = json!(round_to_4_places(self.coverage_sum / answered));
         values["coverage_full_share"] =
             json!(round_to_4_places(self.full_coverage as f64 / answered));
-        values["tenants"] = Value::Object(tenants);
+        values["tenants"] = Value::Object(workspaces);
     }
 }
 
--- a/crates/medlarctl/src/fault_injector.rs
+++ b/crates/medlarctl/src/fault_injector.rs
@@ -234,7 +234,7 @@
     fn send_crash_query(&mut self) {
         self.crash_queries_sent += 1;
         let names = (
-            self.test_bed.deployment.tenants[0],
+            self.test_bed.deployment.workspaces[0],
             self.test_bed.deployment.search.service,
         );
         actix_rt::spawn(crash_caller::run(
--- a/crates/medlarctl/src/load_command.rs
+++ b/crates/medlarctl/src/load_command.rs
@@ -7,7 +7,7 @@
     ctl_error::CtlError,
     flags::Load,
     http_client::HttpClient,
-    load_options::{LoadOptions, LoadTenant},
+    load_options::{LoadOptions, LoadWorkspace},
     load_report::{LoadOutcome, LoadReport, LoadResult},
 };
 use medlarpost_node::{
@@ -58,7 +58,7 @@
         let request = LoadRequest {
             client: client.clone(),
             target: options.targets[number as usize % options.targets.len()],
-            tenant: choose_tenant(&options.tenants, &mut rng).clone(),
+            workspace: choose_workspace(&options.workspaces, &mut rng).clone(),
             is_booking: rng.f64() < options.booking_share,
             query_number: rng.u32(..DISTINCT_QUERIES),
             options: Arc::clone(options),
@@ -67,7 +67,7 @@
         actix_rt::spawn(async move {
             let outcome = request.send().await;
             let result = LoadResult {
-                tenant: Arc::clone(&request.tenant.name),
+                workspace: Arc::clone(&request.workspace.name),
                 latency: intended_start.elapsed(),
                 outcome,
             };
@@ -95,22 +95,25 @@
     }
 }
 
-fn choose_tenant<'a>(tenants: &'a [LoadTenant], rng: &mut fastrand::Rng) -> &'a LoadTenant {
-    let total: u32 = tenants.iter().map(|tenant| tenant.weight).sum();
+fn choose_workspace<'a>(
+    workspaces: &'a [LoadWorkspace],
+    rng: &mut fastrand::Rng,
+) -> &'a LoadWorkspace {
+    let total: u32 = workspaces.iter().map(|workspace| workspace.weight).sum();
     let mut point = rng.u32(..total);
-    for tenant in tenants {
-        if point < tenant.weight {
-            return tenant;
+    for workspace in workspaces {
+        if point < workspace.weight {
+            return workspace;
         }
-        point -= tenant.weight;
+        point -= workspace.weight;
     }
-    &tenants[0]
+    &workspaces[0]
 }
 
 struct LoadRequest {
     client: HttpClient,
     target: SocketAddr,
-    tenant: LoadTenant,
+    workspace: LoadWorkspace,
     is_booking: bool,
     query_number: u32,
     options: Arc<LoadOptions>,
@@ -128,7 +131,7 @@
 
     async fn send_search(&self) -> Result<LoadOutcome, LoadOutcome> {
         let body = json!({
-            "tenant": &*self.tenant.name,
+            "tenant": &*self.workspace.name,
             "service": self.options.search_service,
             "query": format!("query {}", self.query_number),
             "deadline_ms": self.options.deadline.as_millis() as u64,
@@ -140,10 +143,10 @@
 
     /// Requests a ticket and books with it, both at the same node.
     async fn send_booking(&self) -> Result<LoadOutcome, LoadOutcome> {
-        let ticket = json!({ "tenant": &*self.tenant.name });
+        let ticket = json!({ "tenant": &*self.workspace.name });
         let ticket: TicketReply = self.post("/v1/tickets", &ticket).await?;
         let body = json!({
-            "tenant": &*self.tenant.name,
+            "tenant": &*self.workspace.name,
             "service": self.options.booking_service,
             "ticket": ticket.ticket,
             "booking": { "number": self.query_number },
@@ -161,7 +164,7 @@
         let HttpClient { client, scheme } = &self.client;
         let request = client
             .post(format!("{scheme}://{}{path}", self.target))
-            .insert_header(("authorization", format!("Bearer {}", self.tenant.token)));
+            .insert_header(("authorization", format!("Bearer {}", self.workspace.token)));
         let mut response = request
             .send_json(body)
             .await
--- a/crates/medlarctl/src/load_options.rs
+++ b/crates/medlarctl/src/load_options.rs
@@ -8,8 +8,8 @@
 use medlarpost_core::prelude::*;
 use std::{net::SocketAddr, str::FromStr};
 
-/// Environment variable with the tenants, separated by white space, used without `--tenants-file`.
-const TENANTS_VARIABLE: &str = "MEDLARCTL_TENANTS";
+/// Environment variable with the workspaces, separated by white space, used without `--workspaces-file`.
+const WORKSPACES_VARIABLE: &str = "MEDLARCTL_TENANTS";
 
 /// Highest rate in requests per second, so that a mistyped rate does no harm.
 const MAX_RATE: u32 = 20_000;
@@ -20,7 +20,7 @@
 #[derive(Debug)]
 pub(crate) struct LoadOptions {
     pub(crate) targets: Vec<SocketAddr>,
-    pub(crate) tenants: Vec<LoadTenant>,
+    pub(crate) workspaces: Vec<LoadWorkspace>,
     pub(crate) search_service: String,
     pub(crate) booking_service: Option<String>,
     /// Share of bookings among the requests, 0 to 1.
@@ -32,22 +32,22 @@
     pub(crate) seed: u64,
 }
 
-/// A tenant that the load sends requests for. Its `Debug` form leaves out the token.
+/// A workspace that the load sends requests for. Its `Debug` form leaves out the token.
 #[derive(Clone)]
-pub(crate) struct LoadTenant {
+pub(crate) struct LoadWorkspace {
     pub(crate) name: Arc<str>,
     pub(crate) token: Arc<str>,
-    /// Share of the requests, relative to the other tenants.
+    /// Share of the requests, relative to the other workspaces.
     pub(crate) weight: u32,
 }
 
-impl Debug for LoadTenant {
+impl Debug for LoadWorkspace {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        write!(f, "LoadTenant({}, weight {})", self.name, self.weight)
+        write!(f, "LoadWorkspace({}, weight {})", self.name, self.weight)
     }
 }
 
-impl FromStr for LoadTenant {
+impl FromStr for LoadWorkspace {
     type Err = ();
 
     /// Parses `NAME:TOKEN` or `NAME:TOKEN:WEIGHT`, with a weight of 1 to 1000 (default 1).
@@ -73,7 +73,7 @@
 }
 
 impl LoadOptions {
-    /// Validates the flags and reads the tenants.
+    /// Validates the flags and reads the workspaces.
     pub(crate) fn read(flags: &Load) -> Result<Self, CtlError> {
         let targets = flags
             .target
@@ -83,7 +83,7 @@
         require(!targets.is_empty(), "--target", "pass at least one IP:PORT")?;
         let options = Self {
             targets,
-            tenants: read_tenants(flags)?,
+            workspaces: read_workspaces(flags)?,
             search_service: flags.search.clone(),
             booking_service: flags.booking.clone(),
             booking_share: flags.booking_share.unwrap_or(0.0),
@@ -122,14 +122,14 @@
     }
 }
 
-/// Reads the tenants from the file or the variable. Flags would show the tokens in the process list.
-fn read_tenants(flags: &Load) -> Result<Vec<LoadTenant>, CtlError> {
+/// Reads the workspaces from the file or the variable. Flags would show the tokens in the process list.
+fn read_workspaces(flags: &Load) -> Result<Vec<LoadWorkspace>, CtlError> {
     const SOURCES: &str = "--tenants-file or MEDLARCTL_TENANTS";
     let text = match &flags.tenants_file {
         Some(path) => secret::read_long_text(path)?,
-        None => std::env::var(TENANTS_VARIABLE).unwrap_or_default(),
+        None => std::env::var(WORKSPACES_VARIABLE).unwrap_or_default(),
     };
-    let tenants = text
+    let workspaces = text
         .split_whitespace()
         .enumerate()
         .map(|(n, entry)| {
@@ -141,11 +141,11 @@
         })
         .collect::<Result<Vec<_>, _>>()?;
     require(
-        !tenants.is_empty(),
+        !workspaces.is_empty(),
         SOURCES,
         "give at least one NAME:TOKEN:WEIGHT",
     )?;
-    Ok(tenants)
+    Ok(workspaces)
 }
 
 fn parse_value<T: FromStr>(name: &'static str, text: &str, remedy: &str) -> Result<T, CtlError> {
--- a/crates/medlarctl/src/load_report.rs
+++ b/crates/medlarctl/src/load_report.rs
@@ -20,7 +20,7 @@
 /// Outcome and latency of one request.
 #[derive(Debug)]
 pub(crate) struct LoadResult {
-    pub(crate) tenant: Arc<str>,
+    pub(crate) workspace: Arc<str>,
     /// Time since the intended start, so that a late start counts as latency.
     pub(crate) latency: Duration,
     pub(crate) outcome: LoadOutcome,
@@ -50,7 +50,7 @@
     searches_with_full_coverage: u64,
     missing_shards: BTreeMap<String, u64>,
     latency: Histogram<u64>,
-    latency_by_tenant: BTreeMap<Arc<str>, Histogram<u64>>,
+    latency_by_workspace: BTreeMap<Arc<str>, Histogram<u64>>,
 }
 
 impl LoadReport {
@@ -66,7 +66,7 @@
             searches_with_full_coverage: 0,
             missing_shards: BTreeMap::new(),
             latency: latency_histogram(),
-            latency_by_tenant: BTreeMap::new(),
+            latency_by_workspace: BTreeMap::new(),
         }
     }
 
@@ -77,11 +77,11 @@
             LoadOutcome::Refused(kind) => *self.refusals.entry(kind).or_default() += 1,
             LoadOutcome::Booked => {
                 self.bookings_answered += 1;
-                self.record_latency(result.tenant, result.latency);
+                self.record_latency(result.workspace, result.latency);
             }
             LoadOutcome::SearchAnswered(coverage) => {
                 self.record_coverage(coverage);
-                self.record_latency(result.tenant, result.latency);
+                self.record_latency(result.workspace, result.latency);
             }
         }
     }
@@ -97,11 +97,11 @@
     }
 
     /// Called for answered requests only; refusals are fast and would hide slow answers.
-    fn record_latency(&mut self, tenant: Arc<str>, latency: Duration) {
+    fn record_latency(&mut self, workspace: Arc<str>, latency: Duration) {
         let micros = latency.as_micros() as u64;
         self.latency.saturating_record(micros);
-        self.latency_by_tenant
-            .entry(tenant)
+        self.latency_by_workspace
+            .entry(workspace)
             .or_insert_with(latency_histogram)
             .saturating_record(micros);
     }
@@ -120,10 +120,10 @@
 
     /// The report as one JSON object.
     pub(crate) fn to_json(&self) -> Value {
-        let tenants: serde_json::Map<_, _> = self
-            .latency_by_tenant
+        let workspaces: serde_json::Map<_, _> = self
+            .latency_by_workspace
             .iter()
-            .map(|(tenant, latency)| (tenant.to_string(), latency_summary(latency)))
+            .map(|(workspace, latency)| (workspace.to_string(), latency_summary(latency)))
             .collect();
         json!({
             "requests": self.requests,
@@ -135,7 +135,7 @@
             "coverage_full_share": ratio(self.searches_with_full_coverage, self.searches_answered),
             "missing": self.missing_shards,
             "latency": latency_summary(&self.latency),
-            "tenants": tenants,
+            "tenants": workspaces,
         })
     }
 }
@@ -170,8 +170,8 @@
             "latency in ms", "answers", "p50", "p90", "p99", "p99.9"
         )?;
         write_latency_row(f, "all", &self.latency)?;
-        for (tenant, latency) in &self.latency_by_tenant {
-            write_latency_row(f, tenant, latency)?;
+        for (workspace, latency) in &self.latency_by_workspace {
+            write_latency_row(f, workspace, latency)?;
         }
         Ok(())
     }
--- a/crates/medlarctl/src/observation.rs
+++ b/crates/medlarctl/src/observation.rs
@@ -7,8 +7,8 @@
 /// One query and its outcome.
 #[derive(Clone, Debug)]
 pub struct QueryObservation {
-    /// Tenant on whose behalf the query was sent.
-    pub tenant: &'static str,
+    /// Workspace on whose behalf the query was sent.
+    pub workspace: &'static str,
     /// Text and limit, unique in a run.
     pub id: QueryId,
     /// Time at which the load schedule starts the query; the real start may be later.
@@ -86,7 +86,7 @@
     Lost(Loss),
 }
 
-/// Propagation of bundles to the nodes, observed by callers with a token of each bundle's own tenant.
+/// Propagation of bundles to the nodes, observed by callers with a token of each bundle's own workspace.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct ConfigObservation {
     /// Longest time from a publication until it or a later one was in force on all nodes in service.
--- a/crates/medlarctl/src/search_load.rs
+++ b/crates/medlarctl/src/search_load.rs
@@ -21,7 +21,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct SearchLoad {
     pub(crate) service: &'static str,
-    pub(crate) tenants: &'static [&'static str],
+    pub(crate) workspaces: &'static [&'static str],
     pub(crate) caller_delay: Duration,
     /// Queries per second outside an overload.
     pub(crate) rate: f64,
@@ -48,10 +48,10 @@
         let mut number: u64 = 0;
         while intended_start < self.end {
             tokio::time::sleep_until(intended_start.into()).await;
-            let tenant = self.tenants[rng.usize(..self.tenants.len())];
+            let workspace = self.workspaces[rng.usize(..self.workspaces.len())];
             let query = Query {
                 number,
-                tenant,
+                workspace,
                 service: self.service,
                 id: query_generator.next_query_id(),
                 intended_start,
@@ -83,7 +83,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Query {
     pub(crate) number: u64,
-    pub(crate) tenant: &'static str,
+    pub(crate) workspace: &'static str,
     pub(crate) service: &'static str,
     pub(crate) id: QueryId,
     pub(crate) intended_start: Instant,
@@ -99,10 +99,10 @@
         let request_id = format!("query-{}", self.number);
         let call = Call {
             path: "/v1/search",
-            tenant: self.tenant,
+            workspace: self.workspace,
             request_id: Some(&request_id),
             body: json!({
-                "tenant": self.tenant,
+                "tenant": self.workspace,
                 "service": self.service,
                 "query": &*self.id.text,
                 "deadline_ms": QUERY_DEADLINE.as_millis() as u64,
@@ -124,7 +124,7 @@
             CallOutcome::Lost(loss) => QueryOutcome::Lost(loss),
         };
         QueryObservation {
-            tenant: self.tenant,
+            workspace: self.workspace,
             id: self.id,
             intended_start: self.intended_start,
             latency: self.intended_start.elapsed(),
--- a/crates/medlarctl/src/secret.rs
+++ b/crates/medlarctl/src/secret.rs
@@ -10,7 +10,7 @@
 /// Longest file with a secret, in bytes.
 const MAX_SECRET_BYTES: u64 = 4_096;
 
-/// Longest file with certificates or tenants, in bytes.
+/// Longest file with certificates or workspaces, in bytes.
 const MAX_TEXT_BYTES: u64 = 1_000_000;
 
 /// 32 secret bytes: a key or a token. The `Debug` form does not show them.
@@ -67,7 +67,7 @@
     read_trimmed(path, MAX_SECRET_BYTES)
 }
 
-/// Reads a longer text, such as certificates or the tokens of many tenants, without the whitespace around it.
+/// Reads a longer text, such as certificates or the tokens of many workspaces, without the whitespace around it.
 pub(crate) fn read_long_text(path: &Path) -> Result<String, CtlError> {
     read_trimmed(path, MAX_TEXT_BYTES)
 }
--- a/crates/medlarctl/src/test_bed.rs
+++ b/crates/medlarctl/src/test_bed.rs
@@ -107,13 +107,13 @@
         Ok(bed)
     }
 
-    /// Applies a change to the bundle and publishes it with the next version and a probe tenant for that version.
+    /// Applies a change to the bundle and publishes it with the next version and a probe workspace for that version.
     pub(crate) fn publish(&mut self, change: impl FnOnce(&mut Bundle)) {
         change(&mut self.bundle);
         self.bundle.version += 1;
         let version = self.bundle.version;
-        let name = config_probe::probe_tenant(version);
-        self.bundle.tenants.push(Tenant {
+        let name = config_probe::probe_workspace(version);
+        self.bundle.workspaces.push(Workspace {
             token_sha256: vec![Digest::of(Deployment::demo_token(&name).as_bytes())],
             class: self.bundle.classes[0].name.clone(),
             firms: Vec::new(),
--- a/crates/medlarctl/tests/invariant_violations.rs
+++ b/crates/medlarctl/tests/invariant_violations.rs
@@ -271,7 +271,7 @@
 
 fn query(intended_start: Instant, outcome: QueryOutcome) -> QueryObservation {
     QueryObservation {
-        tenant: "tunelix",
+        workspace: "tunelix",
         id: query_id(),
         intended_start,
         latency: Duration::from_millis(40),
--- a/crates/medlarctl/tests/load_command.rs
+++ b/crates/medlarctl/tests/load_command.rs
@@ -11,15 +11,15 @@
     process::{Command, Output},
 };
 
-const TENANTS: &str = "firm-0:token-of-firm-0:3 firm-1:token-of-firm-1";
+const WORKSPACES: &str = "firm-0:token-of-firm-0:3 firm-1:token-of-firm-1";
 
 /// Runs the load generator on a blocking thread, so that the node on this thread keeps serving.
-async fn load(args: &[&str], tenants: &str) -> Output {
+async fn load(args: &[&str], workspaces: &str) -> Output {
     let mut command = Command::new(env!("CARGO_BIN_EXE_medlarctl"));
     command
         .arg("load")
         .args(args)
-        .env("MEDLARCTL_TENANTS", tenants);
+        .env("MEDLARCTL_TENANTS", workspaces);
     tokio::task::spawn_blocking(move || command.output())
         .await
         .expect("the thread ends")
@@ -77,7 +77,7 @@
         "--json",
     ];
 
-    let output = load(&args, TENANTS).await;
+    let output = load(&args, WORKSPACES).await;
 
     let report: serde_json::Value = serde_json::from_slice(&output.stdout).expect("a report");
     let progress = String::from_utf8_lossy(&output.stderr);
@@ -110,7 +110,7 @@
             "1",
             "--json",
         ],
-        TENANTS,
+        WORKSPACES,
     )
     .await;
 
@@ -126,30 +126,30 @@
     let base = ["--target", "127.0.0.1:1", "--search", "s"];
     let with = |extra: &[&'static str]| [&base[..], extra].concat();
     let cases = [
-        (vec!["--search", "s"], TENANTS, "--target"),
+        (vec!["--search", "s"], WORKSPACES, "--target"),
         (
             vec!["--target", "node-1", "--search", "s"],
-            TENANTS,
+            WORKSPACES,
             "--target",
         ),
-        (with(&["--rate", "0"]), TENANTS, "--rate"),
-        (with(&["--rate", "20001"]), TENANTS, "--rate"),
-        (with(&["--seconds", "3601"]), TENANTS, "--seconds"),
-        (with(&["--deadline-ms", "0"]), TENANTS, "--deadline-ms"),
+        (with(&["--rate", "0"]), WORKSPACES, "--rate"),
+        (with(&["--rate", "20001"]), WORKSPACES, "--rate"),
+        (with(&["--seconds", "3601"]), WORKSPACES, "--seconds"),
+        (with(&["--deadline-ms", "0"]), WORKSPACES, "--deadline-ms"),
         (
             with(&["--booking-share", "1.5"]),
-            TENANTS,
+            WORKSPACES,
             "--booking-share",
         ),
-        (with(&["--booking-share", "0.5"]), TENANTS, "--booking"),
+        (with(&["--booking-share", "0.5"]), WORKSPACES, "--booking"),
         (with(&[]), "", "MEDLARCTL_TENANTS"),
         (with(&[]), "firm-0:token-of-firm-0:0", "MEDLARCTL_TENANTS"),
         (with(&[]), "token-of-firm-0", "MEDLARCTL_TENANTS"),
     ];
 
     let mut outputs = Vec::new();
-    for (args, tenants, name) in &cases {
-        outputs.push((*name, load(args, tenants).await));
+    for (args, workspaces, name) in &cases {
+        outputs.push((*name, load(args, workspaces).await));
     }
 
     for (name, output) in outputs {
--- a/crates/medlarpost/tests/common/process_fleet.rs
+++ b/crates/medlarpost/tests/common/process_fleet.rs
@@ -221,7 +221,7 @@
 }
 
 impl Caller {
-    /// Sends a search of the demo tenant.
+    /// Sends a search of the demo workspace.
     pub async fn search(&self, query: &str) -> Result<Reply, RequestError> {
         let body = json!({
             "tenant": "tunelix", "service": "slot-search", "query": query, "deadline_ms": 5_000,
--- a/crates/node/src/caller_api.rs
+++ b/crates/node/src/caller_api.rs
@@ -140,7 +140,7 @@
                 caller,
                 request_id,
                 token,
-                tenant: body.tenant.into(),
+                workspace: body.workspace.into(),
                 service: body.service.into(),
                 query: body.query.into(),
                 limit: body.limit.unwrap_or(DEFAULT_RESULT_LIMIT),
@@ -153,7 +153,7 @@
                 caller,
                 request_id,
                 token,
-                tenant: body.tenant.into(),
+                workspace: body.workspace.into(),
             }))
         }
         (&Method::POST, "/v1/bookings") => {
@@ -162,7 +162,7 @@
                 caller,
                 request_id,
                 token,
-                tenant: body.tenant.into(),
+                workspace: body.workspace.into(),
                 service: body.service.into(),
                 ticket: body.ticket.into(),
                 booking: Arc::from(body.booking.get()),
--- a/crates/node/src/caller_json.rs
+++ b/crates/node/src/caller_json.rs
@@ -7,8 +7,9 @@
 #[derive(Debug)]
 #[derive(Deserialize)]
 pub struct SearchBody {
-    /// Name of the caller's tenant; the bearer token has to be one of this tenant's.
-    pub tenant: String,
+    /// Name of the caller's workspace; the bearer token has to be one of this workspace's.
+    #[serde(rename = "tenant")]
+    pub workspace: String,
     /// Name of the search service.
     pub service: String,
     /// Query text, passed to the upstreams unchanged.
@@ -23,16 +24,18 @@
 #[derive(Debug)]
 #[derive(Deserialize)]
 pub struct TicketBody {
-    /// Name of the caller's tenant; the bearer token has to be one of this tenant's.
-    pub tenant: String,
+    /// Name of the caller's workspace; the bearer token has to be one of this workspace's.
+    #[serde(rename = "tenant")]
+    pub workspace: String,
 }
 
 /// Body of `POST /v1/bookings`.
 #[derive(Debug)]
 #[derive(Deserialize)]
 pub struct BookingBody {
-    /// Name of the caller's tenant; the bearer token has to be one of this tenant's.
-    pub tenant: String,
+    /// Name of the caller's workspace; the bearer token has to be one of this workspace's.
+    #[serde(rename = "tenant")]
+    pub workspace: String,
     /// Name of the booking service.
     pub service: String,
     /// Ticket from `POST /v1/tickets`.
@@ -93,9 +96,9 @@
     pub score: f64,
     /// Firm that owns the document.
     pub owner: String,
-    /// Fields that every tenant gets.
+    /// Fields that every workspace gets.
     pub fields: Box<RawValue>,
-    /// Fields that only tenants which list the owner among their firms get.
+    /// Fields that only workspaces which list the owner among their firms get.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub private: Option<Box<RawValue>>,
 }
--- a/crates/node/src/engine_task.rs
+++ b/crates/node/src/engine_task.rs
@@ -124,8 +124,8 @@
     notices: mpsc::UnboundedSender<EngineNotice>,
     own_sender: EngineSender,
     refusals: RecentRefusals,
-    /// Class of each tenant of the active bundle, for metric labels.
-    tenant_classes: HashMap<String, String>,
+    /// Class of each workspace of the active bundle, for metric labels.
+    workspace_classes: HashMap<String, String>,
 }
 
 struct WaitingCaller {
@@ -173,7 +173,7 @@
         notices: parts.notices,
         own_sender: tx.clone(),
         refusals: RecentRefusals::default(),
-        tenant_classes: HashMap::new(),
+        workspace_classes: HashMap::new(),
     };
     actix_rt::spawn(task.run(rx));
     Ok(tx)
@@ -247,9 +247,9 @@
     fn record_event(&mut self, event: &Event) {
         match event {
             Event::Configure(bundle) => {
-                let tenants = bundle.tenants.iter();
-                self.tenant_classes = tenants
-                    .map(|tenant| (tenant.name.clone(), tenant.class.clone()))
+                let workspaces = bundle.workspaces.iter();
+                self.workspace_classes = workspaces
+                    .map(|workspace| (workspace.name.clone(), workspace.class.clone()))
                     .collect();
             }
             Event::Reply(reply) => self.metrics.record_outcome(&reply.outcome),
@@ -291,11 +291,14 @@
             Command::Probe(upstream) => self.send_to_upstream(upstream, UpstreamMessage::Probe),
             Command::AnswerQuery {
                 caller,
-                tenant,
+                workspace,
                 answer,
             } => {
-                let class = self.tenant_classes.get(&*tenant).map_or("", String::as_str);
-                self.metrics.record_answer(&tenant, class, &answer);
+                let class = self
+                    .workspace_classes
+                    .get(&*workspace)
+                    .map_or("", String::as_str);
+                self.metrics.record_answer(&workspace, class, &answer);
                 self.send_result(caller, CallResult::Answer(answer));
             }
             Command::AnswerTicket {
@@ -307,12 +310,12 @@
             }
             Command::AnswerBooking {
                 caller,
-                tenant,
+                workspace,
                 booking_id,
                 reply,
                 replayed,
             } => {
-                self.metrics.record_booking(&tenant, replayed);
+                self.metrics.record_booking(&workspace, replayed);
                 self.send_result(
                     caller,
                     CallResult::Booked {
@@ -327,9 +330,9 @@
             }
             Command::Refuse {
                 caller,
-                tenant,
+                workspace,
                 refusal,
-            } => self.refuse_caller(caller, &tenant, refusal),
+            } => self.refuse_caller(caller, &workspace, refusal),
             Command::Broadcast(news) => self.notify_control(EngineNotice::Broadcast(news)),
             Command::CanServe => self.notify_control(EngineNotice::CanServe),
             Command::CannotServe => self.notify_control(EngineNotice::CannotServe),
@@ -373,13 +376,13 @@
         }
     }
 
-    fn refuse_caller(&mut self, caller: CallerKey, tenant: &str, refusal: Refusal) {
-        self.count_refusal(tenant, refusal.kind);
+    fn refuse_caller(&mut self, caller: CallerKey, workspace: &str, refusal: Refusal) {
+        self.count_refusal(workspace, refusal.kind);
         self.send_result(caller, CallResult::Refused(refusal));
     }
 
-    fn count_refusal(&mut self, tenant: &str, kind: RefusalKind) {
-        self.metrics.record_refusal(tenant, kind);
+    fn count_refusal(&mut self, workspace: &str, kind: RefusalKind) {
+        self.metrics.record_refusal(workspace, kind);
         self.refusals.record(self.clock.now(), kind);
     }
 
--- a/crates/node/src/forwarded_calls.rs
+++ b/crates/node/src/forwarded_calls.rs
@@ -58,7 +58,7 @@
             call: self.last_number,
             request_id: request.request_id,
             token: request.token,
-            tenant: request.tenant,
+            workspace: request.workspace,
             service: request.service,
             ticket: request.ticket,
             booking: request.booking,
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -19,7 +19,7 @@
 /// Upper bounds of the coverage buckets, as ratios of shards answered to shards asked.
 const COVERAGE_BUCKETS: [f64; 6] = [0.0, 0.5, 0.9, 0.98, 0.999_999, 1.0];
 
-/// Metrics of one node. Label values come from the bundle's tenants and fixed names, so that callers can't add any.
+/// Metrics of one node. Label values come from the bundle's workspaces and fixed names, so that callers can't add any.
 #[derive(Clone, Debug)]
 pub struct Metrics {
     registry: Registry,
@@ -188,16 +188,16 @@
     }
 
     /// Records the latency and coverage of an answered query.
-    pub fn record_answer(&self, tenant: &str, class: &str, answer: &Answer) {
+    pub fn record_answer(&self, workspace: &str, class: &str, answer: &Answer) {
         self.latency
-            .with_label_values(&[tenant, class])
+            .with_label_values(&[workspace, class])
             .observe(millis(answer.total_time) / 1_000.0);
         let Coverage {
             asked, answered, ..
         } = &answer.coverage;
         let ratio = f64::from(*answered) / f64::from((*asked).max(1));
         self.coverage
-            .with_label_values(&[tenant, class])
+            .with_label_values(&[workspace, class])
             .observe(ratio);
         self.upstreams.record_query(*asked);
     }
@@ -223,15 +223,17 @@
     }
 
     /// Counts an answered booking; `replayed` marks the recorded outcome of an earlier request.
-    pub fn record_booking(&self, tenant: &str, replayed: bool) {
+    pub fn record_booking(&self, workspace: &str, replayed: bool) {
         let replayed = if replayed { "true" } else { "false" };
-        self.bookings.with_label_values(&[tenant, replayed]).inc();
+        self.bookings
+            .with_label_values(&[workspace, replayed])
+            .inc();
     }
 
-    /// Counts a refused request; `tenant` is empty if it is not authenticated.
-    pub fn record_refusal(&self, tenant: &str, kind: RefusalKind) {
+    /// Counts a refused request; `workspace` is empty if it is not authenticated.
+    pub fn record_refusal(&self, workspace: &str, kind: RefusalKind) {
         self.refusals
-            .with_label_values(&[tenant, kind.name()])
+            .with_label_values(&[workspace, kind.name()])
             .inc();
     }
 
--- a/crates/node/src/redeem_calls.rs
+++ b/crates/node/src/redeem_calls.rs
@@ -41,7 +41,7 @@
         caller: CallerKey::default(),
         request_id: redeem.request_id,
         token: redeem.token,
-        tenant: redeem.tenant,
+        workspace: redeem.workspace,
         service: redeem.service,
         ticket: redeem.ticket,
         booking: redeem.booking,
--- a/crates/node/tests/common/test_fleet.rs
+++ b/crates/node/tests/common/test_fleet.rs
@@ -211,9 +211,9 @@
 
     /// Requests a ticket; `None` if the node refuses.
     pub async fn request_ticket(&self, node: usize) -> Option<String> {
-        let tenant = self.deployment.tenants[0];
+        let workspace = self.deployment.workspaces[0];
         let (status, reply) = self
-            .post(node, "/v1/tickets", &json!({"tenant": tenant}))
+            .post(node, "/v1/tickets", &json!({"tenant": workspace}))
             .await;
         (status == 200).then(|| {
             reply["ticket"]
@@ -226,7 +226,7 @@
     /// Sends a booking to a node.
     pub async fn book(&self, node: usize, ticket: &str) -> (u16, Value) {
         let body = json!({
-            "tenant": self.deployment.tenants[0],
+            "tenant": self.deployment.workspaces[0],
             "service": self.deployment.booking.service,
             "ticket": ticket,
             "booking": {"slot": 1},
@@ -280,7 +280,7 @@
 
     async fn post(&self, node: usize, path: &str, body: &Value) -> (u16, Value) {
         let address = self.running(node).addresses().callers;
-        let token = Deployment::demo_token(self.deployment.tenants[0]);
+        let token = Deployment::demo_token(self.deployment.workspaces[0]);
         let mut response = awc::Client::new()
             .post(format!("http://{address}{path}"))
             .timeout(CONDITION_TIMEOUT)
--- a/crates/node/tests/common/test_node.rs
+++ b/crates/node/tests/common/test_node.rs
@@ -18,8 +18,8 @@
 /// Index version of the search service.
 const INDEX_VERSION: u64 = 41;
 
-/// Names of the tenants; each lists the firm of the same name, whose private fields it gets.
-pub const TENANTS: [&str; 2] = ["firm-0", "firm-1"];
+/// Names of the workspaces; each lists the firm of the same name, whose private fields it gets.
+pub const WORKSPACES: [&str; 2] = ["firm-0", "firm-1"];
 
 /// Settings of a [`TestNode`]. The defaults give a node that serves.
 #[derive(Debug)]
@@ -117,12 +117,12 @@
         self.node.addresses().callers
     }
 
-    /// Posts a body to the callers' listener with the tenant's token.
-    pub async fn call(&self, path: &str, tenant: &str, body: &Value) -> Reply {
+    /// Posts a body to the callers' listener with the workspace's token.
+    pub async fn call(&self, path: &str, workspace: &str, body: &Value) -> Reply {
         post(
             self.caller_address(),
             path,
-            &token(tenant),
+            &token(workspace),
             None,
             body.to_string(),
         )
@@ -170,13 +170,13 @@
     }
 }
 
-/// Body of a valid search of this tenant.
-pub fn search_body(tenant: &str) -> Value {
-    json!({"tenant": tenant, "service": "dispatch", "query": "springs", "deadline_ms": 2_000})
+/// Body of a valid search of this workspace.
+pub fn search_body(workspace: &str) -> Value {
+    json!({"tenant": workspace, "service": "dispatch", "query": "springs", "deadline_ms": 2_000})
 }
 
-pub fn token(tenant: &str) -> String {
-    Deployment::demo_token(tenant)
+pub fn token(workspace: &str) -> String {
+    Deployment::demo_token(workspace)
 }
 
 /// Posts a body, which need not be JSON, and reads the reply.
@@ -244,7 +244,7 @@
 /// A bundle whose last upstream takes bookings and whose other upstreams are the only replica of one shard each.
 fn test_bundle(version: u64, upstreams: &[FakeUpstream]) -> Bundle {
     let shards = upstreams.len() - 1;
-    let tenants = TENANTS.map(|name| Tenant {
+    let workspaces = WORKSPACES.map(|name| Workspace {
         name: name.to_owned(),
         class: "standard".to_owned(),
         token_sha256: vec![Digest::of(token(name).as_bytes())],
@@ -288,12 +288,12 @@
             region: "central-thailand".to_owned(),
             state: ZoneState::In,
         }],
-        classes: vec![TenantClass {
+        classes: vec![WorkspaceClass {
             name: "standard".to_owned(),
             prefer: LateShardPreference::Coverage,
             weight: 1,
         }],
-        tenants: tenants.to_vec(),
+        workspaces: workspaces.to_vec(),
         upstreams: specs.collect(),
         services: vec![search, booking],
     }
--- a/crates/node/tests/interfaces/metrics.rs
+++ b/crates/node/tests/interfaces/metrics.rs
@@ -69,14 +69,14 @@
 }
 
 #[actix_rt::test]
-async fn unknown_tenants_and_services_add_no_metric_labels() {
+async fn unknown_workspaces_and_services_add_no_metric_labels() {
     let node = TestNodeBuilder::new().start().await;
     let lines_before = node.admin_get("/metrics", "").await.1.lines().count();
     for n in 0..20 {
-        let tenant = format!("nobody-{n}");
-        let mut body = search_body(&tenant);
+        let workspace = format!("nobody-{n}");
+        let mut body = search_body(&workspace);
         body["service"] = format!("service-{n}").into();
-        node.call("/v1/search", &tenant, &body).await;
+        node.call("/v1/search", &workspace, &body).await;
     }
 
     let (_, metrics) = node.admin_get("/metrics", "").await;
--- a/crates/node/tests/interfaces/privacy.rs
+++ b/crates/node/tests/interfaces/privacy.rs
@@ -1,7 +1,7 @@
 //! Guards against private fields sent to another firm, a ranking of equal scores that favours one firm, request ids
 //! that are lost or of any length, and tokens or request content in metrics and logs.
 
-use crate::common::{ADMIN_TOKEN, TENANTS, TestNodeBuilder, post, search_body, token};
+use crate::common::{ADMIN_TOKEN, TestNodeBuilder, WORKSPACES, post, search_body, token};
 use medlarpost_fakes::prelude::*;
 use serde_json::json;
 use slog::{Drain, KV as _};
@@ -46,21 +46,22 @@
 }
 
 #[actix_rt::test]
-async fn private_fields_reach_only_tenants_that_list_the_firm() {
+async fn private_fields_reach_only_workspaces_that_list_the_firm() {
     let node = TestNodeBuilder::new().start().await;
 
     let mut replies = Vec::new();
-    for tenant in TENANTS {
+    for workspace in WORKSPACES {
         replies.push((
-            tenant,
-            node.call("/v1/search", tenant, &search_body(tenant)).await,
+            workspace,
+            node.call("/v1/search", workspace, &search_body(workspace))
+                .await,
         ));
     }
 
-    for (tenant, reply) in replies {
+    for (workspace, reply) in replies {
         let results = reply.body["results"].as_array().expect("an answer");
-        let own = results.iter().filter(|hit| hit["owner"] == tenant);
-        let other = results.iter().filter(|hit| hit["owner"] != tenant);
+        let own = results.iter().filter(|hit| hit["owner"] == workspace);
+        let other = results.iter().filter(|hit| hit["owner"] != workspace);
         assert!(own.clone().count() > 0, "{results:?}");
         assert!(other.clone().count() > 0, "{results:?}");
         assert!(
@@ -169,10 +170,10 @@
     let (log, lines) = channel_logger();
     let node = TestNodeBuilder::new().log(log).start().await;
     let unproved = "tenant-that-nobody-knows";
-    for tenant in [TENANTS[0], TENANTS[1], unproved] {
-        let mut body = search_body(tenant);
+    for workspace in [WORKSPACES[0], WORKSPACES[1], unproved] {
+        let mut body = search_body(workspace);
         body["query"] = json!(REQUEST_TEXT);
-        node.call("/v1/search", tenant, &body).await;
+        node.call("/v1/search", workspace, &body).await;
     }
     let ticket = node
         .call("/v1/tickets", "firm-0", &json!({"tenant": "firm-0"}))
--- a/crates/node/tests/interfaces/refusals.rs
+++ b/crates/node/tests/interfaces/refusals.rs
@@ -149,7 +149,7 @@
     let no_ticket = node
         .call("/v1/bookings", "firm-0", &booking("none", "crew-booking"))
         .await;
-    let other_tenant = node
+    let other_workspace = node
         .call("/v1/bookings", "firm-0", &booking(foreign, "crew-booking"))
         .await;
     let search_service = node
@@ -157,7 +157,7 @@
         .await;
 
     assert_not_run(&no_ticket, 400, "ticket-invalid");
-    assert_not_run(&other_tenant, 400, "ticket-invalid");
+    assert_not_run(&other_workspace, 400, "ticket-invalid");
     assert_not_run(&search_service, 404, "unknown-service");
     assert_eq!(node.take_executions(), []);
 }
--- a/crates/wire/src/decode.rs
+++ b/crates/wire/src/decode.rs
@@ -114,7 +114,7 @@
         call: proto.call,
         request_id: proto.request_id.into(),
         token: proto.token.into(),
-        tenant: proto.tenant.into(),
+        workspace: proto.tenant.into(),
         service: proto.service.into(),
         ticket: proto.ticket.into(),
         booking: proto.booking.into(),
--- a/crates/wire/src/encode.rs
+++ b/crates/wire/src/encode.rs
@@ -110,7 +110,7 @@
         call: redeem.call,
         request_id: redeem.request_id.to_string(),
         token: redeem.token.to_string(),
-        tenant: redeem.tenant.to_string(),
+        tenant: redeem.workspace.to_string(),
         service: redeem.service.to_string(),
         ticket: redeem.ticket.to_string(),
         booking: redeem.booking.to_string(),
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -85,8 +85,8 @@
     pub request_id: Arc<str>,
     /// The caller's bearer token; must never be logged.
     pub token: Arc<str>,
-    /// Name of the tenant.
-    pub tenant: Arc<str>,
+    /// Name of the workspace.
+    pub workspace: Arc<str>,
     /// Name of the service.
     pub service: Arc<str>,
     /// Text of the ticket to redeem.
--- a/crates/wire/tests/frames.rs
+++ b/crates/wire/tests/frames.rs
@@ -111,7 +111,7 @@
             call: 3,
             request_id: text("r"),
             token: text("t"),
-            tenant: text("n"),
+            workspace: text("n"),
             service: text("s"),
             ticket: text("k"),
             booking: text("{}"),
