Let peers' work end before a cold upstream's owner sends its own

Ruled out: asking peers for their attempts, which costs a round trip per cold start and fails with the link. Change: for one second after an upstream has ceased to be warm the owner sends it nothing, unless there are no peers. Result: the new test fails before the change and passes after it; cold_starts, upstream_parts, searches, agreement and lapses pass.

--- a/crates/core/src/upstream_health.rs
+++ b/crates/core/src/upstream_health.rs
@@ -22,6 +22,10 @@
 /// deadlines of 1 ms, whose misses show nothing.
 const MIN_SILENCE: Duration = Duration::from_millis(100);
 
+/// Time for which an upstream that was warm may still run what other nodes sent before they heard that it is cold: the
+/// way of the news, and a slow request.
+const PEER_WORK_DRAIN: Duration = Duration::from_secs(1);
+
 /// Parameters of an upstream's warm-up ramp, from the bundle.
 #[derive(Clone, Copy, Debug)]
 pub struct RampSettings {
@@ -50,6 +54,8 @@
     pending_warm_round: Option<u64>,
     /// Concurrent requests that the warm-up's owner may run there while it is not warm.
     allowance: u32,
+    /// Until then, other nodes' attempts may still use up the allowance.
+    peer_work_until: Timestamp,
     good_run: u32,
     slow_run: u32,
     not_sent_run: u32,
@@ -89,6 +95,7 @@
             round: 0,
             pending_warm_round: None,
             allowance: ramp.cold_slots.max(1),
+            peer_work_until: Timestamp::ZERO,
             good_run: 0,
             slow_run: 0,
             not_sent_run: 0,
@@ -109,6 +116,11 @@
         self.allowance
     }
 
+    /// Whether other nodes' attempts, sent while it was warm, may still run there.
+    pub fn may_run_peer_work(&self, now: Timestamp) -> bool {
+        now < self.peer_work_until
+    }
+
     /// Median of the recent reply times; `None` until there are enough.
     pub fn median_reply_time(&self) -> Option<Duration> {
         self.reply_times.median()
@@ -312,12 +324,16 @@
         age: Duration,
     ) -> Option<HealthNews> {
         let old_enough = age >= ramp.warm_up;
+        let was_warm = self.condition == UpstreamCondition::Warm;
         let step = chart.step(self.condition, event, |guard| match guard {
             UpstreamGuard::LongRunning => old_enough && !self.ramp_required,
             UpstreamGuard::RampComplete => old_enough && self.allowance >= ramp.slots,
             UpstreamGuard::HeardWarm => self.pending_warm_round > Some(self.round),
         });
         self.condition = step.next;
+        if was_warm && self.condition != UpstreamCondition::Warm {
+            self.peer_work_until = now + PEER_WORK_DRAIN;
+        }
         let mut news = None;
         for action in step.actions {
             match action {
--- a/crates/core/src/upstreams.rs
+++ b/crates/core/src/upstreams.rs
@@ -325,7 +325,9 @@
                 .health
                 .allowance()
                 .min(self.connection_share(&member.spec));
-            member.possibly_running(now) < limit
+            let peers_idle =
+                self.warm_up_ownership.has_no_peers() || !member.health.may_run_peer_work(now);
+            peers_idle && member.possibly_running(now) < limit
         };
         match (has_room, warm) {
             (true, true) => Headroom::Warm,
--- a/crates/core/src/warm_up_ownership.rs
+++ b/crates/core/src/warm_up_ownership.rs
@@ -24,6 +24,11 @@
         self.published
     }
 
+    /// Whether there never was another node that could have sent anything to an upstream.
+    pub fn has_no_peers(&self) -> bool {
+        self.always_single_node
+    }
+
     /// Applies a changed list. A lost ownership ends at once, a gained one begins after [`HANDOVER_DELAY`]. A list of
     /// one node doesn't make this node the owner of all upstreams, because that node may be another one.
     pub fn fleet_changed(&mut self, now: Timestamp, view: &FleetView) {
--- a/crates/core/tests/lapses.rs
+++ b/crates/core/tests/lapses.rs
@@ -41,6 +41,14 @@
     }
 }
 
+fn cold_news() -> News {
+    News::Cold {
+        upstream: "u0".to_owned(),
+        started_at_ms: 6,
+        round: 1,
+    }
+}
+
 /// A node that owns the warm-up of the only upstream, whose state is still unknown.
 fn warm_up_owner() -> Engine {
     let mut engine = fixtures::engine(0, 1, PolicyMode::Adaptive);
@@ -171,3 +179,18 @@
         assert_eq!((at_once, later), (0, 1), "{outcome:?}");
     }
 }
+
+/// Guards against a request that the owner of a warm-up adds to those which other nodes sent while the upstream was warm
+/// and which still run there after it turned cold.
+#[test]
+fn owner_sends_nothing_while_an_upstream_turned_cold_may_run_work_of_peers() {
+    let mut engine = warm_up_owner();
+    let found_cold = HANDOVER_END + Duration::from_millis(500);
+    engine.handle(HANDOVER_END, Event::News(warm_news()), &mut Vec::new());
+
+    engine.handle(found_cold, Event::News(cold_news()), &mut Vec::new());
+    let at_once = count_sends(&mut engine, found_cold + Duration::from_millis(700));
+    let later = count_sends(&mut engine, found_cold + Duration::from_millis(1_300));
+
+    assert_eq!((at_once, later), (0, 1));
+}
