Refuse keys while the configuration is not confirmed

Cause: a node that is cut off from the store accepted a key for as long as it was cut off, although the platform asks for a bound on all nodes (strictRevoke, revokeMs). Change: each successful read of the store confirms the configuration in force for the time at which the read was sent, or for the end of a watch that waited its full time without a change. Ages are measured on CLOCK_BOOTTIME, because timers stand still while a VM is suspended. A watch is shortened only where it would outlast the lease. Without the setting nothing changes.

--- a/crates/core/src/forward_admission.rs
+++ b/crates/core/src/forward_admission.rs
@@ -15,6 +15,9 @@
 /// Retry time given to a caller when the node has no configuration or the service has no upstream.
 const NOT_READY_RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// Retry time given to a caller whose key can't be accepted until the registry has confirmed the configuration.
+const UNCONFIRMED_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// Share of the latency objective that the queues of upstreams may take before requests are refused, for urgent routes
 /// and for all others. A request that would be late uses slots that another one needs to be in time.
 const MAX_QUEUE_SHARES: (f64, f64) = (1.0, 0.7);
@@ -27,7 +30,7 @@
         &mut self,
         now: Timestamp,
         caller: CallerKey,
-        request: Arc<ForwardRequest>,
+        (request, arrived_at): (Arc<ForwardRequest>, BootTime),
         commands: &mut Vec<ForwardCommand>,
     ) {
         let refuse = |refusal| ForwardCommand::Answer {
@@ -42,16 +45,12 @@
             return commands.push(refuse(ForwardRefusal::NoRoute));
         };
         let route = table.route(index);
-        let Some(caller_id) = identify(&table, route, &request.credential) else {
-            commands.push(ForwardCommand::Record(
-                ForwardTelemetry::RefusedUnauthenticated {
-                    request: Arc::clone(&request.id),
-                    route: Arc::clone(&route.name),
-                    credential: request.credential,
-                    version: table.version,
-                },
-            ));
-            return commands.push(refuse(ForwardRefusal::Unauthenticated));
+        let caller_id = match self.identify_caller(&table, route, &request, arrived_at) {
+            Ok(caller_id) => caller_id,
+            Err((refusal, telemetry)) => {
+                commands.push(ForwardCommand::Record(telemetry));
+                return commands.push(refuse(refusal));
+            }
         };
         let rank = caller_id.rank.unwrap_or(route.rank);
         if let Some(digest) = self.quarantined_digest(now, &request) {
@@ -127,6 +126,39 @@
         self.check_completion(now, flow, commands);
     }
 
+    /// Who sends a request, or why it is refused. A key can't be judged by a configuration that has not been confirmed for
+    /// too long. A request without a key needs no judgement, and a public route is open whatever the key.
+    fn identify_caller(
+        &self,
+        table: &RoutingTable,
+        route: &Route,
+        request: &ForwardRequest,
+        arrived_at: BootTime,
+    ) -> Result<IdentifiedCaller, (ForwardRefusal, ForwardTelemetry)> {
+        let depends_on_key = table.workspaces.is_some()
+            && !route.public
+            && matches!(request.credential, Credential::Key(_));
+        if depends_on_key && !self.key_lease.is_valid(arrived_at) {
+            let telemetry = ForwardTelemetry::RefusedUnconfirmed {
+                request: Arc::clone(&request.id),
+                route: Arc::clone(&route.name),
+                version: table.version,
+                age: self.key_lease.age(arrived_at),
+            };
+            let retry_after = UNCONFIRMED_RETRY_AFTER;
+            return Err((ForwardRefusal::Unavailable { retry_after }, telemetry));
+        }
+        identify(table, route, &request.credential).ok_or_else(|| {
+            let telemetry = ForwardTelemetry::RefusedUnauthenticated {
+                request: Arc::clone(&request.id),
+                route: Arc::clone(&route.name),
+                credential: request.credential,
+                version: table.version,
+            };
+            (ForwardRefusal::Unauthenticated, telemetry)
+        })
+    }
+
     /// Digest of the request if it is quarantined.
     fn quarantined_digest(&mut self, now: Timestamp, request: &ForwardRequest) -> Option<Digest> {
         if self.quarantine.is_empty() {
--- a/crates/core/src/forward_command.rs
+++ b/crates/core/src/forward_command.rs
@@ -99,6 +99,17 @@
         /// Version of the configuration that it was checked against.
         version: u64,
     },
+    /// A request was refused because the configuration has not been confirmed for so long that its key may be revoked.
+    RefusedUnconfirmed {
+        /// Id of the caller's request.
+        request: Arc<str>,
+        /// Name of its route.
+        route: Arc<str>,
+        /// Version of the configuration in force.
+        version: u64,
+        /// Time since the configuration was confirmed; `None` if it never was.
+        age: Option<Duration>,
+    },
     /// Requests with this digest crash upstreams and are refused for a while.
     RequestQuarantined {
         /// Digest of the requests.
--- a/crates/core/src/forward_event.rs
+++ b/crates/core/src/forward_event.rs
@@ -8,6 +8,15 @@
 pub enum ForwardEvent {
     /// A configuration was published; ignored unless it is newer than the one in force.
     Configured(Arc<RoutingTable>),
+    /// The registry held a configuration at a time that has passed; sent after [`Self::Configured`] for that one.
+    ConfigurationConfirmed {
+        /// Version of the configuration that the registry held.
+        version: u64,
+        /// Latest time at which it is known to have held it.
+        at: BootTime,
+    },
+    /// The bound on the revocation of keys in the settings has changed; `None` for no bound.
+    RevokeWithinChanged(Option<Duration>),
     /// An entry of the registry is new or has changed.
     UpstreamRegistered(RegisteredUpstream),
     /// The entry of this instance has gone from the registry.
@@ -33,6 +42,8 @@
         caller: CallerKey,
         /// Request to forward.
         request: Arc<ForwardRequest>,
+        /// When it had arrived completely, or later.
+        arrived_at: BootTime,
     },
     /// A caller disconnected before it was answered.
     CallerGone(CallerKey),
--- a/crates/core/src/forwarder.rs
+++ b/crates/core/src/forwarder.rs
@@ -45,6 +45,8 @@
     pub answer_margin: Duration,
     /// Number of nodes assumed until the first [`ForwardEvent::FleetSize`].
     pub initial_fleet_size: u32,
+    /// Time after the removal of a key from which no request with it may be admitted; `None` for no such bound.
+    pub revoke_within: Option<Duration>,
     /// Seed of the random number generator.
     pub seed: u64,
 }
@@ -78,6 +80,8 @@
 pub struct Forwarder {
     pub(crate) settings: ForwarderSettings,
     pub(crate) table: Option<Arc<RoutingTable>>,
+    /// Right to accept the keys of `table`.
+    pub(crate) key_lease: KeyLease,
     pub(crate) services: SlotMap<ServiceKey, ServicePool>,
     services_by_name: HashMap<Arc<str>, ServiceKey>,
     pub(crate) replicas: SlotMap<UpstreamKey, Replica>,
@@ -131,6 +135,7 @@
         let random = fastrand::Rng::with_seed(settings.seed);
         Ok(Self {
             fleet_size: settings.initial_fleet_size.max(1),
+            key_lease: KeyLease::new(settings.revoke_within),
             settings,
             table: None,
             services: SlotMap::with_key(),
@@ -162,6 +167,13 @@
     ) {
         match event {
             ForwardEvent::Configured(table) => self.configure(table, commands),
+            ForwardEvent::ConfigurationConfirmed { version, at } => {
+                // A configuration that this node has not applied says nothing about the one in force.
+                if self.config_version() >= Some(version) {
+                    self.key_lease.confirm(at);
+                }
+            }
+            ForwardEvent::RevokeWithinChanged(bound) => self.key_lease.set_revoke_within(bound),
             ForwardEvent::UpstreamRegistered(entry) => self.register(now, entry, commands),
             ForwardEvent::UpstreamDeregistered(instance) => {
                 self.deregister(now, &instance, commands);
@@ -182,8 +194,12 @@
             ForwardEvent::UpstreamNoticed(notice) => {
                 self.apply_peer_notice(now, notice, commands);
             }
-            ForwardEvent::RequestArrived { caller, request } => {
-                self.handle_request(now, caller, request, commands);
+            ForwardEvent::RequestArrived {
+                caller,
+                request,
+                arrived_at,
+            } => {
+                self.handle_request(now, caller, (request, arrived_at), commands);
             }
             ForwardEvent::CallerGone(caller) => {
                 if let Some(&flow) = self.callers.get(&caller) {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod admission;
 pub mod answer;
+pub mod boot_time;
 pub mod bundle;
 pub mod bundle_check;
 pub mod bundle_diff;
@@ -32,6 +33,7 @@
 pub mod forwarder;
 pub mod freshness_chart;
 pub mod hit_merger;
+pub mod key_lease;
 pub mod keys;
 pub mod latency_histogram;
 pub mod latency_window;
--- a/crates/core/src/prelude.rs
+++ b/crates/core/src/prelude.rs
@@ -2,6 +2,7 @@
 
 pub use crate::{
     answer::{Answer, Coverage, Hit, MissingReason, MissingShard},
+    boot_time::BootTime,
     bundle::{
         Bundle, DeploymentLimits, LateShardPreference, LoadPolicy, Service, ServiceKind,
         ShardLayout, Tenant, TenantClass, Upstream, UpstreamState, Zone, ZoneState,
@@ -31,6 +32,7 @@
         ReportedLoad, UpstreamReply, UpstreamReport,
     },
     forwarder::{FleetLimits, Forwarder, ForwarderSettings},
+    key_lease::{KeyLease, WatchTiming},
     keys::{
         AttemptKey, BookingKey, CallerKey, FlowKey, PeerKey, QueryKey, ServiceKey, TenantKey,
         UpstreamKey,
--- a/crates/core/tests/forwarding/forward_harness.rs
+++ b/crates/core/tests/forwarding/forward_harness.rs
@@ -26,6 +26,8 @@
 pub struct Harness {
     pub forwarder: Forwarder,
     pub now: Timestamp,
+    /// Arrival time of the requests that are sent.
+    pub boot_time: BootTime,
     commands: Vec<ForwardCommand>,
     callers: SlotMap<CallerKey, ()>,
     upstreams: BTreeMap<String, UpstreamKey>,
@@ -56,6 +58,7 @@
         cross_zone_cost: 0.2,
         answer_margin: Duration::from_millis(10),
         initial_fleet_size: 1,
+        revoke_within: None,
         seed: 1,
     }
 }
@@ -159,6 +162,7 @@
         Self {
             forwarder: Forwarder::new(settings).expect("embedded charts are valid"),
             now: Timestamp::from_millis(10_000),
+            boot_time: BootTime::default(),
             commands: Vec::new(),
             callers: SlotMap::with_key(),
             upstreams: BTreeMap::new(),
@@ -184,7 +188,12 @@
         self.caller_by_request
             .insert(Arc::clone(&request.id), caller);
         let request = Arc::new(request);
-        self.handle(ForwardEvent::RequestArrived { caller, request });
+        let arrived_at = self.boot_time;
+        self.handle(ForwardEvent::RequestArrived {
+            caller,
+            request,
+            arrived_at,
+        });
         caller
     }
 
--- /dev/null
+++ b/crates/node/src/configuration_confirmation.rs
@@ -0,0 +1,88 @@
+//! What the registry watcher knows about the age of the configuration in force.
+
+use crate::{boot_clock::BootClock, prelude::*, registry::RegistryDocument};
+
+/// Time that a read of a sound registry may take, which the wait of a watch leaves before the lease of keys ends.
+const READ_TIME: Duration = Duration::from_millis(300);
+
+/// Share of the lease that the pause between watches may take.
+const MAX_INTERVAL_SHARE: f64 = 0.25;
+
+/// Shortest pause between watches that a short lease leads to.
+const MIN_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Follows which reads show that the registry holds the configuration in force, and paces reads so that a sound registry
+/// confirms it in time.
+#[derive(Debug)]
+pub(crate) struct ConfigurationConfirmation {
+    clock: BootClock,
+    lease: KeyLease,
+    /// Version of the configuration that the registry holds. `None` if it is not known: nothing was read, the
+    /// configuration is unreadable or was removed, or it came from another node, which does not pass on unreadable ones.
+    version: Option<u64>,
+}
+
+impl ConfigurationConfirmation {
+    pub(crate) fn new(clock: BootClock) -> Self {
+        Self {
+            clock,
+            lease: KeyLease::default(),
+            version: None,
+        }
+    }
+
+    pub(crate) fn now(&self) -> BootTime {
+        self.clock.now()
+    }
+
+    pub(crate) fn set_revoke_within(&mut self, revoke_within: Option<Duration>) {
+        self.lease.set_revoke_within(revoke_within);
+    }
+
+    /// Records what a document says about the configuration that the registry holds.
+    pub(crate) fn record_document(&mut self, document: &RegistryDocument) {
+        match document {
+            RegistryDocument::Configuration(table) => self.version = Some(table.version),
+            RegistryDocument::UnreadableConfiguration { .. } => self.version = None,
+            _ => {}
+        }
+    }
+
+    /// Records that the configuration of the registry is not known until it is read again.
+    pub(crate) fn forget_version(&mut self) {
+        self.version = None;
+    }
+
+    /// Whether keys are accepted only while the configuration is confirmed.
+    pub(crate) fn is_required(&self) -> bool {
+        self.lease.duration().is_some()
+    }
+
+    /// Event for a read that shows the registry's configuration at time `at`; `None` if it has none that is known.
+    pub(crate) fn confirm(&mut self, at: BootTime) -> Option<ForwardEvent> {
+        let version = self.version?;
+        self.lease.confirm(at);
+        Some(ForwardEvent::ConfigurationConfirmed { version, at })
+    }
+
+    /// Wait of a watch, at most `wait`, that ends before the lease does. In whole milliseconds, to which registries cut
+    /// the wait: a reply that seems early would confirm less.
+    pub(crate) fn limit_wait(&self, wait: Duration) -> Duration {
+        match self.lease.time_left(self.now()) {
+            Some(left) if self.version.is_some() => {
+                let wait = wait.min(left.saturating_sub(READ_TIME));
+                Duration::from_millis(wait.as_millis() as u64)
+            }
+            _ => wait,
+        }
+    }
+
+    /// Pause between watches, at most `interval`, that leaves most of the lease to the watches.
+    pub(crate) fn limit_interval(&self, interval: Duration) -> Duration {
+        let longest = self
+            .lease
+            .duration()
+            .map(|lease| lease.mul_f64(MAX_INTERVAL_SHARE).max(MIN_INTERVAL));
+        longest.map_or(interval, |longest| interval.min(longest))
+    }
+}
--- a/crates/node/src/forward_log.rs
+++ b/crates/node/src/forward_log.rs
@@ -42,6 +42,13 @@
             version,
         } => info!(log, "refused_unauthenticated"; "request" => &**request, "route" => &**route,
             "key" => credential.log_id(), "version" => *version),
+        ForwardTelemetry::RefusedUnconfirmed {
+            request,
+            route,
+            version,
+            age,
+        } => info!(log, "refused_unconfirmed"; "request" => &**request, "route" => &**route,
+            "version" => *version, "confirmed_ms_ago" => age.map(|age| age.as_millis() as u64)),
         ForwardTelemetry::RequestQuarantined { digest, from_peer } => {
             warn!(log, "request_barred"; "digest" => %digest, "told" => *from_peer);
         }
@@ -75,12 +82,7 @@
             version,
         } => {
             let complete = matches!(*outcome, "reply" | "merged") && covered == shards;
-            let sampled = complete
-                && UNLOGGED_ANSWERS.with(|count| {
-                    count.set((count.get() + 1) % COMPLETE_ANSWERS_PER_LINE);
-                    count.get() == 0
-                });
-            if !complete || sampled {
+            if !complete || is_sampled() {
                 info!(log, "answered"; "request" => &**request, "route" => &**route, "outcome" => *outcome,
                     "covered" => *covered, "shards" => *shards, "elapsed_ms" => elapsed.as_millis() as u64,
                     "version" => *version);
@@ -100,17 +102,27 @@
             notice,
             service,
             from_peer,
-        } => {
-            let left = match notice.kind {
-                NoticeKind::Leaving => None,
-                NoticeKind::Resting { left } => Some(left.as_millis() as u64),
-            };
-            info!(log, "upstream_notice"; "instance" => &*notice.instance,
-                "service" => service.as_deref().unwrap_or("none"), "kind" => notice.kind.name(),
-                "left_ms" => left, "told" => *from_peer, "age_ms" => notice.age.as_millis() as u64);
-        }
+        } => write_notice(log, notice, service.as_deref(), *from_peer),
         ForwardTelemetry::ConfigurationApplied { version, routes } => {
             info!(log, "configuration_in_force"; "version" => *version, "routes" => *routes);
         }
     }
 }
+
+/// Whether this complete answer is one of the [`COMPLETE_ANSWERS_PER_LINE`] that is logged.
+fn is_sampled() -> bool {
+    UNLOGGED_ANSWERS.with(|count| {
+        count.set((count.get() + 1) % COMPLETE_ANSWERS_PER_LINE);
+        count.get() == 0
+    })
+}
+
+fn write_notice(log: &Logger, notice: &UpstreamNotice, service: Option<&str>, from_peer: bool) {
+    let left = match notice.kind {
+        NoticeKind::Leaving => None,
+        NoticeKind::Resting { left } => Some(left.as_millis() as u64),
+    };
+    info!(log, "upstream_notice"; "instance" => &*notice.instance,
+        "service" => service.unwrap_or("none"), "kind" => notice.kind.name(),
+        "left_ms" => left, "told" => from_peer, "age_ms" => notice.age.as_millis() as u64);
+}
--- a/crates/node/src/forward_metrics.rs
+++ b/crates/node/src/forward_metrics.rs
@@ -105,6 +105,9 @@
             ForwardTelemetry::RefusedUnauthenticated { .. } => {
                 self.given_up.with_label_values(&["unauthenticated"]).inc();
             }
+            ForwardTelemetry::RefusedUnconfirmed { .. } => {
+                self.given_up.with_label_values(&["unconfirmed"]).inc();
+            }
             ForwardTelemetry::ShardGivenUp { cause, .. } => {
                 self.given_up.with_label_values(&[*cause]).inc();
             }
--- a/crates/node/src/forward_node.rs
+++ b/crates/node/src/forward_node.rs
@@ -231,9 +231,14 @@
         self.settings.balancer_lag = settings.balancer_lag;
         self.settings.stop_within = settings.stop_within;
         self.phase.watch_settings.send_replace(settings.watch);
-        let limits = ForwardEvent::LimitsChanged(settings.forwarder.limits);
-        // The receiver ends only with the process.
-        let _ended = self.phase.forward.send(ForwardMessage::Event(limits));
+        let events = [
+            ForwardEvent::LimitsChanged(settings.forwarder.limits),
+            ForwardEvent::RevokeWithinChanged(settings.forwarder.revoke_within),
+        ];
+        for event in events {
+            // The receiver ends only with the process.
+            let _ended = self.phase.forward.send(ForwardMessage::Event(event));
+        }
     }
 
     /// Waits until a task that the node can't do without has ended by a panic. Returns its name.
--- a/crates/node/src/forward_task.rs
+++ b/crates/node/src/forward_task.rs
@@ -1,6 +1,7 @@
 //! The task that owns the forwarder and the pools of connections to upstreams.
 
 use crate::{
+    boot_clock::BootClock,
     connection_pool::ConnectionPool,
     dialect::Dialect,
     forward_metrics::ForwardMetrics,
@@ -156,7 +157,12 @@
                 let caller = self.callers.insert(reply.clone());
                 // A caller that disconnected also sends `CallerGone`, which removes the entry.
                 let _left = reply.send(CallerMessage::Accepted(caller));
-                self.handle_event(ForwardEvent::RequestArrived { caller, request });
+                let arrived_at = BootClock::System.now();
+                self.handle_event(ForwardEvent::RequestArrived {
+                    caller,
+                    request,
+                    arrived_at,
+                });
             }
             ForwardMessage::Connection(report) => self.handle_report(report),
             ForwardMessage::ReplyGrew { attempt, size } => self.handle_growth(attempt, size),
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,5 +1,6 @@
 //! The medlarpost node: asynchronous tasks that own sockets and state and carry out the decisions of `medlarpost-core`.
 
+pub mod boot_clock;
 pub mod caller_api;
 pub mod caller_json;
 pub mod clock;
@@ -39,6 +40,7 @@
 
 mod admin_api;
 mod caller_connection;
+mod configuration_confirmation;
 mod connection_pool;
 mod connection_task;
 mod forward_log;
--- a/crates/node/src/registry.rs
+++ b/crates/node/src/registry.rs
@@ -69,6 +69,8 @@
     ZoneRestored(Arc<str>),
     /// The registration of this instance was deleted or expired.
     UpstreamRemoved(Arc<str>),
+    /// The configuration was deleted; the last one stays in force.
+    ConfigurationRemoved,
 }
 
 /// Why a listing or watch failed.
--- a/crates/node/src/registry_watcher.rs
+++ b/crates/node/src/registry_watcher.rs
@@ -1,6 +1,8 @@
 //! The task that follows a registry and sends its changes to the forward task.
 
 use crate::{
+    boot_clock::BootClock,
+    configuration_confirmation::ConfigurationConfirmation,
     forward_task::{ForwardMessage, ForwardSender},
     known_items::KnownItems,
     prelude::*,
@@ -44,6 +46,8 @@
     /// Time for which entries that vanish together are kept although no read failed. With the interval and the time of
     /// a read it must stay below the bound for upstreams that are gone.
     pub lapse_grace: Duration,
+    /// Time after the removal of a key from which no request with it may be admitted; `None` for no such bound.
+    pub revoke_within: Option<Duration>,
 }
 
 /// Follows a registry, and falls back to the snapshots of other nodes while it fails.
@@ -68,6 +72,7 @@
     /// Revision to watch from; `None` before the first listing and after the history was lost.
     revision: Option<u64>,
     failing: bool,
+    confirmation: ConfigurationConfirmation,
 }
 
 impl<R: Registry> RegistryWatcher<R> {
@@ -92,6 +97,16 @@
             recovery_until: Instant::now(),
             revision: None,
             failing: false,
+            confirmation: ConfigurationConfirmation::new(BootClock::System),
+        }
+    }
+
+    /// Measures the age of the configuration with this clock instead of the system's.
+    #[must_use]
+    pub fn with_boot_clock(self, clock: BootClock) -> Self {
+        Self {
+            confirmation: ConfigurationConfirmation::new(clock),
+            ..self
         }
     }
 
@@ -156,18 +171,30 @@
     }
 
     async fn read_registry(&mut self) -> Result<(), RegistryError> {
+        let revoke_within = self.settings().revoke_within;
+        self.confirmation.set_revoke_within(revoke_within);
         match self.revision {
             None if self.entry_keys.is_empty() => self.first_read().await?,
             None => {
+                let sent_at = self.confirmation.now();
                 let listing = self.registry.list().await?;
                 self.record_success();
                 self.apply_listing(listing);
+                self.confirm_configuration(sent_at);
             }
             Some(revision) => {
-                let wait = self.watch_wait();
+                let wait = self.confirmation.limit_wait(self.watch_wait());
+                let sent_at = self.confirmation.now();
                 let changes = self.registry.watch(revision, wait).await?;
+                let timing = WatchTiming {
+                    sent_at,
+                    wait,
+                    answered_at: self.confirmation.now(),
+                    found_changes: !changes.changes.is_empty(),
+                };
                 self.record_success();
                 self.apply_changes(changes);
+                self.confirm_configuration(timing.confirmed_at());
             }
         }
         self.deregister_expired();
@@ -176,11 +203,13 @@
 
     /// Reads the registry for the first time, or takes another node's snapshot if that arrives first.
     async fn first_read(&mut self) -> Result<(), RegistryError> {
+        let sent_at = self.confirmation.now();
         tokio::select! {
             listing = self.registry.list() => {
                 let listing = listing?;
                 self.record_success();
                 self.apply_listing(listing);
+                self.confirm_configuration(sent_at);
             }
             snapshot = self.await_peer_snapshot() => {
                 let reason = "another node answered before the first listing".to_owned();
@@ -232,6 +261,11 @@
         let current = snapshot.current;
         if snapshot.revision > self.items.borrow().revision() {
             self.apply_listing(snapshot);
+            self.confirmation.forget_version();
+            if self.confirmation.is_required() {
+                // A watch from the snapshot's revision would not show a configuration that the other node can't read.
+                self.revision = None;
+            }
         }
         if current {
             self.deregister_expired();
@@ -240,10 +274,11 @@
 
     fn poll_interval(&self) -> Duration {
         let may_return = !self.missing.is_empty() || Instant::now() < self.recovery_until;
+        let interval = self.confirmation.limit_interval(self.settings().interval);
         if may_return {
-            self.settings().interval.min(RECOVERY_INTERVAL)
+            interval.min(RECOVERY_INTERVAL)
         } else {
-            self.settings().interval
+            interval
         }
     }
 
@@ -281,6 +316,7 @@
 
     fn apply_listing(&mut self, listing: Snapshot) {
         self.record_revision(listing.revision);
+        self.confirmation.forget_version();
         let mut seen = HashSet::new();
         let mut keys = HashSet::new();
         let mut evacuated_zones = BTreeSet::new();
@@ -372,12 +408,17 @@
                 zones.remove(&zone);
                 self.set_evacuated_zones(zones);
             }
+            Some(Removal::ConfigurationRemoved) => {
+                warn!(self.log, "configuration_removed");
+                self.confirmation.forget_version();
+            }
             None => {}
         }
     }
 
     fn apply_write(&mut self, item: PublishedItem, document: RegistryDocument) {
         let key = Arc::clone(&item.key);
+        self.confirmation.record_document(&document);
         if !matches!(
             document,
             RegistryDocument::UnreadableUpstream { .. }
@@ -447,6 +488,13 @@
         self.send_event(ForwardEvent::ZonesEvacuated(zones));
     }
 
+    /// Reports that the registry held the configuration in force at time `at`, unless it holds one that is not known.
+    fn confirm_configuration(&mut self, at: BootTime) {
+        if let Some(event) = self.confirmation.confirm(at) {
+            self.send_event(event);
+        }
+    }
+
     fn send_event(&self, event: ForwardEvent) {
         // The receiver ends only with the process.
         let _ended = self.forward.send(ForwardMessage::Event(event));
--- a/crates/node/tests/failed_task.rs
+++ b/crates/node/tests/failed_task.rs
@@ -100,6 +100,7 @@
             cross_zone_cost: 0.5,
             answer_margin: Duration::from_millis(10),
             initial_fleet_size: 1,
+            revoke_within: None,
             seed: 1,
         },
         watch: WatchSettings {
@@ -107,6 +108,7 @@
             interval: Duration::from_millis(100),
             recovery_grace: Duration::from_secs(2),
             lapse_grace: Duration::from_secs(1),
+            revoke_within: None,
         },
         reply_memory_bytes: 1_000_000,
         balancer_lag: Duration::ZERO,
--- a/crates/node/tests/registry_watch.rs
+++ b/crates/node/tests/registry_watch.rs
@@ -19,6 +19,7 @@
     interval: Duration::from_millis(600),
     recovery_grace: Duration::from_millis(2_300),
     lapse_grace: Duration::from_millis(1_500),
+    revoke_within: None,
 };
 
 /// Longest time from a removal until a node acts on it: the interval, the grace period and some milliseconds.
