Test that reads of the registry confirm the configuration in time

Cause: the confirmation had no test with a watcher. Change: a simulated registry with changes at random times, at contactMs and revokeMs of 5 s. Without changes in the registry the limit adds no call.

--- /dev/null
+++ b/crates/node/tests/configuration_confirmation.rs
@@ -0,0 +1,294 @@
+//! Guards against a configuration that is confirmed although it may be outdated, or that a sound registry does not
+//! confirm in time. The time is simulated.
+
+use medlarpost_core::prelude::*;
+use medlarpost_node::{
+    boot_clock::BootClock,
+    forward_task::ForwardMessage,
+    registry::{Change, Changes, Registry, RegistryDocument, RegistryError, Removal},
+    registry_watcher::{RegistryWatcher, WatchSettings},
+};
+use slog::{Discard, Logger, o};
+use std::{cell::RefCell, rc::Rc};
+use tokio::{
+    sync::{mpsc, watch},
+    time::Instant,
+};
+
+/// Settings of a deployment whose `contactMs` is 5 s and whose other bounds are 5 s.
+const SETTINGS: WatchSettings = WatchSettings {
+    max_wait: Duration::from_millis(2_500),
+    interval: Duration::from_secs(1),
+    recovery_grace: Duration::from_millis(2_300),
+    lapse_grace: Duration::from_millis(2_300),
+    revoke_within: Some(Duration::from_secs(5)),
+};
+
+/// Time of a request and of a reply on their way.
+const TRANSIT: Duration = Duration::from_millis(20);
+
+/// Interval at which a watch of the fake registry looks for changes.
+const POLL: Duration = Duration::from_millis(5);
+
+const CONFIGURATION: &str = "configuration";
+
+/// Value of a configuration that can't be read.
+const UNREADABLE: &[u8] = b"unreadable";
+
+#[derive(Debug, Default)]
+struct Contents {
+    /// Changes in order; the revision is their number.
+    history: Vec<Change>,
+    /// Waits of all watches.
+    waits: Vec<Duration>,
+}
+
+/// A registry in memory that holds a configuration and other items. Clones share them.
+#[derive(Clone, Debug, Default)]
+struct FakeRegistry(Rc<RefCell<Contents>>);
+
+impl FakeRegistry {
+    fn with_version(version: u64) -> Self {
+        let registry = Self::default();
+        registry.write(CONFIGURATION, version.to_string().as_bytes());
+        registry
+    }
+
+    fn write(&self, key: &str, value: &[u8]) {
+        let item = PublishedItem {
+            key: key.into(),
+            value: bytes::Bytes::copy_from_slice(value),
+        };
+        self.0.borrow_mut().history.push(Change::Written(item));
+    }
+
+    fn remove(&self, key: &str) {
+        let removed = Change::Removed(key.into());
+        self.0.borrow_mut().history.push(removed);
+    }
+
+    fn changes_after(&self, after: u64) -> Changes {
+        let contents = self.0.borrow();
+        Changes {
+            revision: contents.history.len() as u64,
+            changes: contents.history[after as usize..].to_vec(),
+        }
+    }
+}
+
+impl Registry for FakeRegistry {
+    async fn list(&self) -> Result<Snapshot, RegistryError> {
+        let Changes { revision, changes } = self.changes_after(0);
+        let written = changes.into_iter().filter_map(|change| match change {
+            Change::Written(item) => Some(item),
+            Change::Removed(_) => None,
+        });
+        Ok(Snapshot {
+            revision,
+            current: true,
+            items: written.collect(),
+        })
+    }
+
+    async fn watch(&self, after: u64, wait: Duration) -> Result<Changes, RegistryError> {
+        self.0.borrow_mut().waits.push(wait);
+        tokio::time::sleep(TRANSIT).await;
+        let until = Instant::now() + wait;
+        let changes = loop {
+            let changes = self.changes_after(after);
+            if !changes.changes.is_empty() || Instant::now() >= until {
+                break changes;
+            }
+            tokio::time::sleep(POLL).await;
+        };
+        tokio::time::sleep(TRANSIT).await;
+        Ok(changes)
+    }
+
+    fn parse_item(&self, item: &PublishedItem) -> Option<RegistryDocument> {
+        if &*item.key != CONFIGURATION {
+            return None;
+        }
+        let version = std::str::from_utf8(&item.value).ok()?.parse();
+        Some(match version {
+            Ok(version) => RegistryDocument::Configuration(table(version)),
+            Err(_) => RegistryDocument::UnreadableConfiguration {
+                reason: "not a number".to_owned(),
+            },
+        })
+    }
+
+    fn parse_removal(&self, key: &str) -> Option<Removal> {
+        (key == CONFIGURATION).then_some(Removal::ConfigurationRemoved)
+    }
+}
+
+fn table(version: u64) -> Arc<RoutingTable> {
+    let limits = CallerLimits::default();
+    Arc::new(RoutingTable::new(
+        version,
+        Vec::new(),
+        BTreeMap::new(),
+        limits,
+    ))
+}
+
+/// A confirmation that the watcher sent.
+#[derive(Clone, Copy, Debug)]
+struct Confirmation {
+    version: u64,
+    at: BootTime,
+    received_at: BootTime,
+}
+
+/// A watcher of a fake registry, and the messages that it sends to the forward task.
+struct Watched {
+    registry: FakeRegistry,
+    messages: mpsc::UnboundedReceiver<ForwardMessage>,
+    origin: Instant,
+    task: actix_rt::task::JoinHandle<()>,
+}
+
+/// Starts a watcher of the registry. The time must be simulated already.
+fn start_watcher(registry: FakeRegistry, settings: WatchSettings) -> Watched {
+    let origin = Instant::now();
+    let (forward, messages) = mpsc::unbounded_channel();
+    let (_contacts, contacts) = watch::channel(Vec::new());
+    let (_settings, settings) = watch::channel(settings);
+    let log = Logger::root(Discard, o!());
+    let watcher = RegistryWatcher::new(registry.clone(), settings, forward, contacts, log)
+        .with_boot_clock(BootClock::Runtime(origin));
+    Watched {
+        registry,
+        messages,
+        origin,
+        task: actix_rt::spawn(watcher.run()),
+    }
+}
+
+impl Watched {
+    /// Confirmations within this time from now.
+    async fn confirmations_within(&mut self, time: Duration) -> Vec<Confirmation> {
+        let until = Instant::now() + time;
+        let mut confirmations = Vec::new();
+        while let Ok(Some(message)) = tokio::time::timeout_at(until, self.messages.recv()).await {
+            if let ForwardMessage::Event(ForwardEvent::ConfigurationConfirmed { version, at }) =
+                message
+            {
+                confirmations.push(Confirmation {
+                    version,
+                    at,
+                    received_at: BootTime::new(self.origin.elapsed()),
+                });
+            }
+        }
+        confirmations
+    }
+}
+
+/// Writes an item that is no configuration after each of these pauses.
+fn write_after_pauses(registry: &FakeRegistry, pauses: Vec<Duration>) {
+    let registry = registry.clone();
+    actix_rt::spawn(async move {
+        for pause in pauses {
+            tokio::time::sleep(pause).await;
+            registry.write("entry", b"");
+        }
+    });
+}
+
+/// Shortest rest of the lease at the moment at which a confirmation extends it.
+fn shortest_rest(confirmations: &[Confirmation]) -> Option<Duration> {
+    let mut lease = KeyLease::new(SETTINGS.revoke_within);
+    let mut rests = Vec::new();
+    for confirmation in confirmations {
+        rests.extend(lease.time_left(confirmation.received_at));
+        lease.confirm(confirmation.at);
+    }
+    rests.into_iter().skip(1).min()
+}
+
+/// Guards against keyed requests that are refused although the registry works. A change at the end of one watch confirms
+/// little, and the next watch may then wait its full time.
+#[actix_rt::test]
+async fn a_sound_registry_confirms_in_time_whenever_changes_come() {
+    tokio::time::pause();
+    for seed in 0..40 {
+        let mut random = fastrand::Rng::with_seed(seed);
+        let longest_ms = [300, 3_000, 6_000][seed as usize % 3];
+        let pauses = (0..200).map(|_| Duration::from_millis(random.u64(0..longest_ms)));
+        let registry = FakeRegistry::with_version(1);
+        write_after_pauses(&registry, pauses.collect());
+        let mut watched = start_watcher(registry, SETTINGS);
+
+        let confirmations = watched.confirmations_within(Duration::from_mins(2)).await;
+        watched.task.abort();
+
+        let rest = shortest_rest(&confirmations);
+        assert!(rest > Some(Duration::ZERO), "seed {seed}: {rest:?}");
+    }
+}
+
+/// Guards against further calls to a registry without changes, each of which is charged for.
+#[actix_rt::test]
+async fn the_bound_adds_no_watches_of_a_registry_without_changes() {
+    tokio::time::pause();
+    let registry = FakeRegistry::with_version(1);
+    let mut watched = start_watcher(registry, SETTINGS);
+
+    let confirmations = watched.confirmations_within(Duration::from_mins(1)).await;
+
+    assert!(shortest_rest(&confirmations) > Some(Duration::from_secs(1)));
+    let waits = watched.registry.0.borrow().waits.clone();
+    assert!(waits.iter().all(|wait| *wait == SETTINGS.max_wait));
+}
+
+/// Guards against other waits on deployments that don't ask for the bound.
+#[actix_rt::test]
+async fn without_the_bound_the_waits_are_unchanged() {
+    tokio::time::pause();
+    let registry = FakeRegistry::with_version(1);
+    let pauses = vec![Duration::from_millis(2_900); 20];
+    write_after_pauses(&registry, pauses);
+    let settings = WatchSettings {
+        revoke_within: None,
+        ..SETTINGS
+    };
+    let mut watched = start_watcher(registry, settings);
+
+    watched.confirmations_within(Duration::from_mins(1)).await;
+
+    let waits = watched.registry.0.borrow().waits.clone();
+    assert!(waits.iter().all(|wait| *wait == SETTINGS.max_wait));
+}
+
+/// Guards against revoked keys of the last readable configuration, which a read would confirm although the registry holds
+/// another one.
+#[actix_rt::test]
+async fn an_unreadable_configuration_is_not_confirmed() {
+    tokio::time::pause();
+    let mut watched = start_watcher(FakeRegistry::with_version(1), SETTINGS);
+    let before = watched.confirmations_within(Duration::from_secs(5)).await;
+
+    watched.registry.write(CONFIGURATION, UNREADABLE);
+    let unreadable = watched.confirmations_within(Duration::from_mins(1)).await;
+    watched.registry.write(CONFIGURATION, b"2");
+    let after = watched.confirmations_within(Duration::from_secs(5)).await;
+
+    assert!(before.iter().all(|confirmation| confirmation.version == 1) && !before.is_empty());
+    assert!(unreadable.is_empty(), "{unreadable:?}");
+    assert!(after.iter().all(|confirmation| confirmation.version == 2) && !after.is_empty());
+}
+
+/// Guards against confirmations of a configuration that the registry no longer holds.
+#[actix_rt::test]
+async fn a_removed_configuration_is_not_confirmed() {
+    tokio::time::pause();
+    let mut watched = start_watcher(FakeRegistry::with_version(1), SETTINGS);
+    watched.confirmations_within(Duration::from_secs(5)).await;
+
+    watched.registry.remove(CONFIGURATION);
+    let removed = watched.confirmations_within(Duration::from_mins(1)).await;
+
+    assert!(removed.is_empty(), "{removed:?}");
+}
