--- a/crates/core/src/digest.rs
+++ b/crates/core/src/digest.rs
@@ -4,6 +4,7 @@
 use serde::{Deserializer, Serializer, de::Error as _};
 use sha2::{Digest as _, Sha256};
 use std::fmt::{self, Display, Formatter};
+use subtle::{Choice, ConstantTimeEq as _};
 
 /// A SHA-256 digest; its text form is 64 lower-case hexadecimal digits.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
@@ -15,6 +16,20 @@
         Self(Sha256::digest(bytes).into())
     }
 
+    /// Compares with the digest of a secret, in a time that does not depend on how many bytes agree.
+    pub fn is_equal_in_constant_time(&self, other: &Self) -> bool {
+        self.0.ct_eq(&other.0).into()
+    }
+
+    /// Whether one of the digests of secrets is equal. All of them are compared, each in constant time.
+    pub fn is_any_of(&self, secrets: &[Self]) -> bool {
+        let none = Choice::from(0);
+        secrets
+            .iter()
+            .fold(none, |found, secret| found | secret.0.ct_eq(&self.0))
+            .into()
+    }
+
     /// Parses exactly 64 hexadecimal digits in either case.
     pub fn from_hex(text: &str) -> Option<Self> {
         hex::parse_bytes(text).map(Self)
--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -249,17 +249,12 @@
 
     /// Returns the named tenant if the token is one of its own. Every hash of the tenant is compared in constant time.
     pub(crate) fn authenticate(&self, name: &str, token: &str) -> Option<TenantKey> {
-        use subtle::ConstantTimeEq as _;
         let digest = Digest::of(token.as_bytes());
         let (key, tenant) = self
             .tenants
             .iter()
             .find(|(_, tenant)| tenant.name == name)?;
-        let known = tenant
-            .token_sha256
-            .iter()
-            .fold(0, |known, hash| known | hash.0.ct_eq(&digest.0).unwrap_u8());
-        (known == 1).then_some(key)
+        digest.is_any_of(&tenant.token_sha256).then_some(key)
     }
 
     /// Like [`Shared::authenticate`], with a refusal as the error.
--- a/crates/core/src/forward_admission.rs
+++ b/crates/core/src/forward_admission.rs
@@ -52,8 +52,12 @@
                 return commands.push(refuse(refusal));
             }
         };
+        if let CallerIdentity::Workspace(workspace) = &caller_id.identity {
+            let workspace = Arc::clone(workspace);
+            commands.push(ForwardCommand::CountForWorkspace { caller, workspace });
+        }
         let rank = caller_id.rank.unwrap_or(route.rank);
-        if let Some(digest) = self.quarantined_digest(now, &request) {
+        if let Some(digest) = self.quarantined_digest(now, &request, &caller_id.identity) {
             commands.push(ForwardCommand::Record(
                 ForwardTelemetry::RefusedQuarantined {
                     request: Arc::clone(&request.id),
@@ -160,11 +164,16 @@
     }
 
     /// Digest of the request if it is quarantined.
-    fn quarantined_digest(&mut self, now: Timestamp, request: &ForwardRequest) -> Option<Digest> {
+    fn quarantined_digest(
+        &mut self,
+        now: Timestamp,
+        request: &ForwardRequest,
+        identity: &CallerIdentity,
+    ) -> Option<Digest> {
         if self.quarantine.is_empty() {
             return None;
         }
-        let digest = request.digest();
+        let digest = request.digest(identity);
         self.quarantine.must_refuse(now, digest).then_some(digest)
     }
 
--- a/crates/core/src/forward_command.rs
+++ b/crates/core/src/forward_command.rs
@@ -46,6 +46,13 @@
         /// Reply, merged records or refusal.
         answer: ForwardAnswer,
     },
+    /// Count the answer to this caller for a workspace; sent before the answer.
+    CountForWorkspace {
+        /// Caller that waits for the answer.
+        caller: CallerKey,
+        /// Workspace that holds its key.
+        workspace: Arc<str>,
+    },
     /// Announce to the other nodes that this request crashes upstreams.
     AnnounceQuarantine(Digest),
     /// Tell the other nodes what an upstream says of itself.
--- a/crates/core/src/forward_replies.rs
+++ b/crates/core/src/forward_replies.rs
@@ -119,7 +119,7 @@
         let Some(flow) = self.flows.get(attempt.flow) else {
             return;
         };
-        let digest = flow.request.digest();
+        let digest = flow.request.digest(&flow.identity);
         if connection_lost {
             self.quarantine
                 .record_connection_loss(now, digest, attempt.upstream, attempt.sent);
--- a/crates/core/src/forward_request.rs
+++ b/crates/core/src/forward_request.rs
@@ -2,9 +2,10 @@
 
 use crate::prelude::*;
 use bytes::Bytes;
+use std::fmt::{self, Formatter};
 
 /// A caller's request, whose content is opaque to the node.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub struct ForwardRequest {
     /// Id that the caller gave this request; a repetition has another one.
     pub id: Arc<str>,
@@ -25,13 +26,20 @@
 }
 
 impl ForwardRequest {
-    /// Digest of method, host, target and body, which repetitions of a request share.
-    pub fn digest(&self) -> Digest {
+    /// Digest of method, host, target and body, which repetitions of a request share. Requests of different workspaces
+    /// never share one, so that one workspace's request can't get that of another quarantined.
+    pub fn digest(&self, identity: &CallerIdentity) -> Digest {
         let parts = [&self.method, &self.host, &self.target].map(String::as_bytes);
         let mut bytes = parts.join(&0);
         bytes.push(0);
         bytes.extend_from_slice(&self.body);
-        Digest::of(&bytes)
+        let content = Digest::of(&bytes);
+        match identity {
+            CallerIdentity::Unchecked | CallerIdentity::Anonymous => content,
+            CallerIdentity::Workspace(name) => {
+                Digest::of(&[Digest::of(name.as_bytes()).0, content.0].concat())
+            }
+        }
     }
 
     /// Path of the target, without the query string.
@@ -40,6 +48,23 @@
     }
 }
 
+/// Writes no values of header fields, which may hold a key, and nothing of the body.
+impl Debug for ForwardRequest {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        let names: Vec<_> = self.fields.iter().map(|(name, _)| name).collect();
+        f.debug_struct("ForwardRequest")
+            .field("id", &self.id)
+            .field("host", &self.host)
+            .field("method", &self.method)
+            .field("target", &self.target)
+            .field("credential", &self.credential)
+            .field("fields", &names)
+            .field("body_bytes", &self.body.len())
+            .field("time_left", &self.time_left)
+            .finish()
+    }
+}
+
 /// A complete reply of an upstream.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct UpstreamReply {
@@ -158,6 +183,17 @@
     TimedOut,
 }
 
+impl ForwardAnswer {
+    /// Name in metrics.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Reply(_) => "reply",
+            Self::Merged(_) => "merged",
+            Self::Refused(refusal) => refusal.name(),
+        }
+    }
+}
+
 impl ForwardRefusal {
     /// Name in logs and metrics.
     pub fn name(self) -> &'static str {
--- a/crates/core/src/workspace_settings.rs
+++ b/crates/core/src/workspace_settings.rs
@@ -1,8 +1,10 @@
 //! Workspaces of a published configuration: who callers are, and how much they may ask for.
 
 use crate::prelude::*;
-use std::collections::HashMap;
-use subtle::ConstantTimeEq as _;
+use std::{
+    collections::HashMap,
+    fmt::{self, Formatter},
+};
 
 /// Bytes of a key's digest by which candidates are found before the constant-time comparison.
 const DIGEST_PREFIX_BYTES: usize = 8;
@@ -11,11 +13,11 @@
 const LOGGED_DIGITS: usize = 8;
 
 /// Settings of one workspace.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub struct WorkspaceSettings {
     /// Name that upstreams receive, unique within its configuration.
     pub name: Arc<str>,
-    /// Digests of the keys that authenticate its callers.
+    /// Digests of the keys that authenticate its callers. That of the empty key authenticates nobody.
     pub keys: Vec<Digest>,
     /// Rank that replaces the route's, if any; 0 is the most urgent.
     pub rank: Option<u32>,
@@ -33,7 +35,7 @@
 }
 
 /// Workspaces of one configuration, found by the digests of their keys.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Default)]
 pub struct Workspaces {
     /// Addressed by [`WorkspaceIndex`].
     settings: Vec<WorkspaceSettings>,
@@ -46,7 +48,7 @@
 pub struct WorkspaceIndex(u32);
 
 /// What a request says about its caller.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Eq, PartialEq)]
 pub enum Credential {
     /// Nothing.
     Missing,
@@ -73,17 +75,45 @@
         match self {
             Self::Missing => "none".to_owned(),
             Self::Malformed => "malformed".to_owned(),
-            Self::Key(digest) => digest.to_string()[..LOGGED_DIGITS].to_owned(),
+            Self::Key(digest) => log_id(digest),
         }
     }
 }
 
+/// Writes what logs may show. A complete digest would allow to try out guessed keys.
+impl Debug for Credential {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.log_id())
+    }
+}
+
+/// Writes what logs may show of the keys.
+impl Debug for WorkspaceSettings {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        let keys: Vec<_> = self.keys.iter().map(log_id).collect();
+        f.debug_struct("WorkspaceSettings")
+            .field("name", &self.name)
+            .field("keys", &keys)
+            .field("rank", &self.rank)
+            .field("quota", &self.quota)
+            .finish()
+    }
+}
+
+/// Writes the workspaces without the index, which holds complete digests.
+impl Debug for Workspaces {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        f.debug_list().entries(&self.settings).finish()
+    }
+}
+
 impl Workspaces {
     /// Indexes the workspaces by their keys. A key that several hold belongs to the first of them.
     pub fn new(settings: Vec<WorkspaceSettings>) -> Self {
         let mut by_prefix: HashMap<_, Vec<_>> = HashMap::new();
+        let empty_key = Digest::of(b"");
         for (i, workspace) in settings.iter().enumerate() {
-            for key in &workspace.keys {
+            for key in workspace.keys.iter().filter(|key| **key != empty_key) {
                 let candidates = by_prefix.entry(prefix(key)).or_default();
                 candidates.push((*key, WorkspaceIndex(i as u32)));
             }
@@ -99,7 +129,7 @@
         let candidates = self.by_prefix.get(&prefix(key))?;
         let holder = candidates
             .iter()
-            .find(|(known, _)| bool::from(known.0.ct_eq(&key.0)));
+            .find(|(known, _)| known.is_equal_in_constant_time(key));
         holder.map(|(_, index)| *index)
     }
 
@@ -118,6 +148,10 @@
     }
 }
 
+fn log_id(digest: &Digest) -> String {
+    digest.to_string()[..LOGGED_DIGITS].to_owned()
+}
+
 fn prefix(digest: &Digest) -> [u8; DIGEST_PREFIX_BYTES] {
     let mut prefix = [0; DIGEST_PREFIX_BYTES];
     prefix.copy_from_slice(&digest.0[..DIGEST_PREFIX_BYTES]);
--- a/crates/core/tests/forwarding/crash_requests.rs
+++ b/crates/core/tests/forwarding/crash_requests.rs
@@ -71,14 +71,14 @@
 
     assert_eq!(
         harness.announced_quarantines(),
-        [request(CRASHING_PATH).digest()]
+        [request(CRASHING_PATH).digest(&CallerIdentity::Unchecked)]
     );
 }
 
 #[test]
 fn request_quarantined_by_another_node_is_refused() {
     let mut harness = harness_with_six_upstreams();
-    let digest = request(CRASHING_PATH).digest();
+    let digest = request(CRASHING_PATH).digest(&CallerIdentity::Unchecked);
 
     let age = Duration::from_secs(1);
     harness.handle(ForwardEvent::QuarantinedElsewhere { digest, age });
@@ -166,10 +166,16 @@
     others[3].body = Bytes::from_static(b"body");
 
     for other in &others {
-        assert_ne!(other.digest(), plain.digest());
+        assert_ne!(
+            other.digest(&CallerIdentity::Unchecked),
+            plain.digest(&CallerIdentity::Unchecked)
+        );
     }
     // Each repetition has an id of its own.
     let mut again = plain.clone();
     again.id = "request-2".into();
-    assert_eq!(again.digest(), plain.digest());
+    assert_eq!(
+        again.digest(&CallerIdentity::Unchecked),
+        plain.digest(&CallerIdentity::Unchecked)
+    );
 }
--- a/crates/core/tests/forwarding/forward_harness.rs
+++ b/crates/core/tests/forwarding/forward_harness.rs
@@ -269,6 +269,18 @@
         sent
     }
 
+    /// On whose behalf attempts were sent, since the last call.
+    pub fn take_identities(&mut self) -> Vec<CallerIdentity> {
+        let sent = self.commands.iter().filter_map(|command| match command {
+            ForwardCommand::SendAttempt { identity, .. } => Some(identity.clone()),
+            _ => None,
+        });
+        let identities = sent.collect();
+        self.commands
+            .retain(|command| !matches!(command, ForwardCommand::SendAttempt { .. }));
+        identities
+    }
+
     /// Attempts cancelled since the last call.
     pub fn take_cancelled(&mut self) -> Vec<AttemptKey> {
         let cancelled = self.commands.iter().filter_map(|command| match command {
--- a/crates/core/tests/forwarding/main.rs
+++ b/crates/core/tests/forwarding/main.rs
@@ -5,6 +5,7 @@
 mod decisions;
 mod forward_harness;
 mod give_ups;
+mod identification;
 mod notices;
 mod overload;
 mod replicas;
--- a/crates/node/src/admin_api.rs
+++ b/crates/node/src/admin_api.rs
@@ -3,7 +3,6 @@
 use crate::{control_parts::ControlCommand, prelude::*, status_json::StatusReply};
 use actix_http::{Method, StatusCode};
 use serde_json::json;
-use subtle::ConstantTimeEq as _;
 
 /// Time limit for the status reports of the engine and the control task.
 const STATUS_TIMEOUT: Duration = Duration::from_secs(2);
@@ -46,7 +45,7 @@
     fn is_administrator(&self, req: &HttpRequest) -> bool {
         let given = Digest::of(req.bearer_token().as_bytes());
         self.token
-            .is_some_and(|token| bool::from(token.0.ct_eq(&given.0)))
+            .is_some_and(|token| token.is_equal_in_constant_time(&given))
     }
 
     /// Renders the metrics. Those read from the status keep their last value if it is not reported in time.
--- a/crates/node/src/configuration_confirmation.rs
+++ b/crates/node/src/configuration_confirmation.rs
@@ -77,12 +77,17 @@
         }
     }
 
-    /// Pause between watches, at most `interval`, that leaves most of the lease to the watches.
+    /// Pause between watches, at most `interval`, that leaves most of the lease to the watches. It is short if the lease has
+    /// ended although the registry answers, as after a suspension of the VM.
     pub(crate) fn limit_interval(&self, interval: Duration) -> Duration {
-        let longest = self
-            .lease
-            .duration()
-            .map(|lease| lease.mul_f64(MAX_INTERVAL_SHARE).max(MIN_INTERVAL));
-        longest.map_or(interval, |longest| interval.min(longest))
+        let (Some(lease), Some(left)) = (self.lease.duration(), self.lease.time_left(self.now()))
+        else {
+            return interval;
+        };
+        let mut longest = lease.mul_f64(MAX_INTERVAL_SHARE);
+        if self.version.is_some() {
+            longest = longest.min(left.saturating_sub(READ_TIME));
+        }
+        interval.min(longest.max(MIN_INTERVAL))
     }
 }
--- a/crates/node/src/forward_metrics.rs
+++ b/crates/node/src/forward_metrics.rs
@@ -2,12 +2,20 @@
 
 use crate::prelude::*;
 use prometheus::{HistogramOpts, HistogramVec, IntCounterVec, Opts, Registry};
+use std::collections::HashSet;
 
 /// Upper bounds of the histogram buckets for answer times, in seconds.
 const ANSWER_SECONDS_BUCKETS: [f64; 12] = [
     0.005, 0.01, 0.02, 0.04, 0.06, 0.08, 0.12, 0.25, 0.5, 1.0, 2.0, 5.0,
 ];
 
+/// Workspaces with label values of their own, in the order of their first answers. Each label value costs memory for the
+/// life of the process, and a configuration may name any number of workspaces.
+const MAX_WORKSPACE_LABELS: usize = 64;
+
+/// Label value of all further workspaces.
+const OTHER_WORKSPACES: &str = "other";
+
 /// Counters and histograms of forwarded requests, as shown at `/metrics`.
 #[derive(Clone, Debug)]
 pub struct ForwardMetrics {
@@ -17,6 +25,9 @@
     given_up: IntCounterVec,
     upstream_changes: IntCounterVec,
     notices: IntCounterVec,
+    workspace_answers: IntCounterVec,
+    /// Workspaces with label values of their own; at most [`MAX_WORKSPACE_LABELS`].
+    labelled_workspaces: HashSet<Arc<str>>,
 }
 
 impl ForwardMetrics {
@@ -68,6 +79,12 @@
                 "Notices that an upstream is leaving or wants no requests, by kind and by who told this node",
                 &["kind", "source"],
             )?,
+            workspace_answers: counter_by(
+                "medlarpost_forward_workspace_answers_total",
+                "Answers to the requests of a workspace, refusals included, by outcome",
+                &["workspace", "outcome"],
+            )?,
+            labelled_workspaces: HashSet::new(),
         })
     }
 
@@ -76,6 +93,22 @@
         self.attempts.with_label_values(&[outcome]).inc();
     }
 
+    /// Counts an answer to a request of a workspace.
+    pub(crate) fn record_workspace_answer(&mut self, workspace: &Arc<str>, outcome: &str) {
+        let has_room = self.labelled_workspaces.len() < MAX_WORKSPACE_LABELS;
+        if has_room && !self.labelled_workspaces.contains(workspace) {
+            self.labelled_workspaces.insert(Arc::clone(workspace));
+        }
+        let label = if self.labelled_workspaces.contains(workspace) {
+            workspace
+        } else {
+            OTHER_WORKSPACES
+        };
+        self.workspace_answers
+            .with_label_values(&[label, outcome])
+            .inc();
+    }
+
     /// Updates the metrics from a telemetry record.
     pub(crate) fn record(&self, telemetry: &ForwardTelemetry) {
         match telemetry {
--- a/crates/node/src/forward_task.rs
+++ b/crates/node/src/forward_task.rs
@@ -93,11 +93,18 @@
     pub announcements: mpsc::UnboundedSender<Announcement>,
 }
 
+/// A caller that waits for its answer.
+struct WaitingCaller {
+    reply: mpsc::UnboundedSender<CallerMessage>,
+    /// Workspace for which the answer is counted, if any.
+    workspace: Option<Arc<str>>,
+}
+
 struct ForwardTask<D> {
     parts: ForwardParts<D>,
     tx: ForwardSender,
     pools: SecondaryMap<UpstreamKey, ConnectionPool<D>>,
-    callers: SlotMap<CallerKey, mpsc::UnboundedSender<CallerMessage>>,
+    callers: SlotMap<CallerKey, WaitingCaller>,
     commands: Vec<ForwardCommand>,
 }
 
@@ -154,7 +161,10 @@
                 });
             }
             ForwardMessage::Request { request, reply } => {
-                let caller = self.callers.insert(reply.clone());
+                let caller = self.callers.insert(WaitingCaller {
+                    reply: reply.clone(),
+                    workspace: None,
+                });
                 // A caller that disconnected also sends `CallerGone`, which removes the entry.
                 let _left = reply.send(CallerMessage::Accepted(caller));
                 let arrived_at = BootClock::System.now();
@@ -259,9 +269,18 @@
                 }
             }
             ForwardCommand::Answer { caller, answer } => {
-                if let Some(reply) = self.callers.remove(caller) {
+                if let Some(waiting) = self.callers.remove(caller) {
+                    if let Some(workspace) = waiting.workspace {
+                        let metrics = &mut self.parts.metrics;
+                        metrics.record_workspace_answer(&workspace, answer.name());
+                    }
                     // The caller may have disconnected.
-                    let _left = reply.send(CallerMessage::Answer(answer));
+                    let _left = waiting.reply.send(CallerMessage::Answer(answer));
+                }
+            }
+            ForwardCommand::CountForWorkspace { caller, workspace } => {
+                if let Some(waiting) = self.callers.get_mut(caller) {
+                    waiting.workspace = Some(workspace);
                 }
             }
             ForwardCommand::AnnounceQuarantine(digest) => {
--- a/crates/node/src/http_stream.rs
+++ b/crates/node/src/http_stream.rs
@@ -1,7 +1,10 @@
 //! A TCP stream with buffers for HTTP messages.
 
 use bytes::BytesMut;
-use std::io;
+use std::{
+    fmt::{self, Debug, Formatter},
+    io,
+};
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
     net::TcpStream,
@@ -11,7 +14,6 @@
 const READ_SIZE_BYTES: usize = 4096;
 
 /// A TCP stream with its read and write buffers.
-#[derive(Debug)]
 pub(crate) struct HttpStream {
     stream: TcpStream,
     /// Bytes that were read and are not yet decoded.
@@ -20,6 +22,16 @@
     pub(crate) output: BytesMut,
 }
 
+/// Writes the lengths of the buffers only: they may hold keys of callers.
+impl Debug for HttpStream {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        f.debug_struct("HttpStream")
+            .field("input_bytes", &self.input.len())
+            .field("output_bytes", &self.output.len())
+            .finish_non_exhaustive()
+    }
+}
+
 impl HttpStream {
     pub(crate) fn new(stream: TcpStream) -> Self {
         // Nagle's algorithm would hold small messages back until the peer's delayed acknowledgement. The call fails
