Explain refusals for want of a key

Cause: medlarctl explain showed the line of a 401 without what it means, and a refusal for want of a confirmation without the registry_lost line that may lie minutes before it. Change: a last line with the reason and the remedy, and the last change of the node's access to the store or its configuration.

--- a/crates/medlarctl/src/explain_command.rs
+++ b/crates/medlarctl/src/explain_command.rs
@@ -10,6 +10,14 @@
 /// Time before the first line of a request in which a change of the node's state may have decided it.
 const LOOK_BACK_SECONDS: f64 = 10.0;
 
+/// Changes that decide whether the node may accept keys, however long before the request they were.
+const CONFIRMATION_EVENTS: [&str; 4] = [
+    "registry_lost",
+    "registry_regained",
+    "configuration_unreadable",
+    "configuration_removed",
+];
+
 /// Reads the log files, or standard input without any, and prints the explanation of one request.
 pub(crate) fn run(flags: &Explain) -> Result<(), CtlError> {
     let mut text = String::new();
@@ -59,27 +67,31 @@
         .filter_map(|l| field(l, "service"))
         .collect();
     let node = field(first, "node");
+    let confirmation_line = last_confirmation_change(&lines, &request_lines);
     let is_context = |line: &&str| {
         let at_seconds = timestamp(line).unwrap_or_default();
         let is_near =
             (from - LOOK_BACK_SECONDS..=until).contains(&at_seconds) && field(line, "node") == node;
-        is_near
-            && match field(line, "event") {
-                Some("upstream_changed" | "upstream_notice") => {
-                    field(line, "service").is_some_and(|s| services.contains(s))
+        confirmation_line == Some(*line)
+            || is_near
+                && match field(line, "event") {
+                    Some("upstream_changed" | "upstream_notice") => {
+                        field(line, "service").is_some_and(|s| services.contains(s))
+                    }
+                    Some(
+                        "configuration_in_force"
+                        | "configuration_unreadable"
+                        | "configuration_removed"
+                        | "zones_out_changed"
+                        | "registry_lost"
+                        | "registry_regained"
+                        | "fleet_size_changed"
+                        | "reply_ended"
+                        | "node_draining"
+                        | "log_lines_dropped",
+                    ) => true,
+                    _ => false,
                 }
-                Some(
-                    "configuration_in_force"
-                    | "zones_out_changed"
-                    | "registry_lost"
-                    | "registry_regained"
-                    | "fleet_size_changed"
-                    | "reply_ended"
-                    | "node_draining"
-                    | "log_lines_dropped",
-                ) => true,
-                _ => false,
-            }
     };
     let explanation = lines
         .iter()
@@ -90,12 +102,51 @@
             format!("{at:>+10.0} ms  {rest}\n")
         });
     let node = node.unwrap_or("an unnamed node");
+    let reasons = request_lines.iter().filter_map(|line| refusal_reason(line));
     format!(
-        "request {id} on {node}\n{}",
-        explanation.collect::<String>()
+        "request {id} on {node}\n{}{}",
+        explanation.collect::<String>(),
+        reasons.collect::<String>()
     )
 }
 
+/// Last change before a request was refused because its key could not be confirmed, if it was; from the same node.
+fn last_confirmation_change<'a>(lines: &[&'a str], request_lines: &[&str]) -> Option<&'a str> {
+    let refusal = request_lines
+        .iter()
+        .find(|line| field(line, "event") == Some("refused_unconfirmed"))?;
+    let mut before = lines.iter().copied().filter(|line| {
+        let is_change = field(line, "event").is_some_and(|e| CONFIRMATION_EVENTS.contains(&e));
+        is_change
+            && field(line, "node") == field(refusal, "node")
+            && timestamp(line) <= timestamp(refusal)
+    });
+    before.next_back()
+}
+
+/// Why a request was refused for its key, and what helps, as a line of its own.
+fn refusal_reason(line: &str) -> Option<String> {
+    let version = field(line, "version").unwrap_or("unknown");
+    match (field(line, "event")?, field(line, "key")) {
+        ("refused_unauthenticated", Some("none")) => Some(
+            "401: the request has no Authorization field; send \"Authorization: Token KEY\"\n"
+                .to_owned(),
+        ),
+        ("refused_unauthenticated", Some("malformed")) => {
+            Some("401: the Authorization field is repeated, or is not \"Token KEY\"\n".to_owned())
+        }
+        ("refused_unauthenticated", Some(key)) => Some(format!(
+            "401: no workspace of configuration {version} holds the key whose SHA-256 digest starts with {key}; compare \
+             with: printf %s KEY | sha256sum\n"
+        )),
+        ("refused_unconfirmed", _) => Some(format!(
+            "503: the store has not confirmed configuration {version} within revokeMs, so that the key may be revoked; \
+             see registry_lost, configuration_unreadable or configuration_removed before it\n"
+        )),
+        _ => None,
+    }
+}
+
 /// Value of a key in a log line of `key=value` pairs.
 fn field<'a>(line: &'a str, key: &str) -> Option<&'a str> {
     line.split(' ')
--- a/crates/medlarctl/tests/explain_command.rs
+++ b/crates/medlarctl/tests/explain_command.rs
@@ -40,3 +40,43 @@
 fn request_without_log_lines_is_reported_as_such() {
     assert!(explain(LOG, "z").starts_with("no line of request z"));
 }
+
+/// Refusals for want of a key, and changes long before them.
+const KEYS_LOG: &str = "\
+ts=10.000 level=WARN event=registry_lost revision=4 fault=x node=n-1
+ts=11.000 level=WARN event=registry_lost revision=4 fault=y node=n-2
+ts=100.000 level=INFO event=refused_unconfirmed confirmed_ms_ago=90000 version=7 route=r request=a node=n-1
+ts=100.100 level=INFO event=refused_unauthenticated version=7 key=none route=r request=b node=n-1
+ts=100.200 level=INFO event=refused_unauthenticated version=7 key=malformed route=r request=c node=n-1
+ts=100.300 level=INFO event=refused_unauthenticated version=7 key=0a1b2c3d route=r request=d node=n-1
+";
+
+/// Guards against a refusal for want of a confirmation whose cause lies too far back to be shown.
+#[test]
+fn explanation_of_an_unconfirmed_key_shows_the_last_change_of_its_node() {
+    let explanation = explain(KEYS_LOG, "a");
+
+    assert!(explanation.contains("registry_lost revision=4 fault=x"));
+    assert!(!explanation.contains("fault=y"), "{explanation}");
+    let reason = explanation.lines().last().unwrap_or_default();
+    assert!(reason.starts_with("503") && reason.contains("configuration 7"));
+}
+
+/// Guards against a 401 whose cause the caller's support can't tell.
+#[test]
+fn explanation_of_an_unauthenticated_request_names_the_remedy() {
+    for (id, expected) in [
+        ("b", "no Authorization field"),
+        ("c", "repeated"),
+        ("d", "0a1b2c3d"),
+    ] {
+        let explanation = explain(KEYS_LOG, id);
+
+        let reason = explanation.lines().last().unwrap_or_default();
+        assert!(
+            reason.starts_with("401") && reason.contains(expected),
+            "{reason}"
+        );
+        assert!(!explanation.contains("registry_lost"), "{explanation}");
+    }
+}
