--- a/crates/core/tests/forwarding/identification.rs
+++ b/crates/core/tests/forwarding/identification.rs
@@ -1,6 +1,8 @@
 //! Guards against requests that run on behalf of the wrong workspace, or with a key that does not hold any more.
 
-use crate::forward_harness::{Harness, harness, request, service_route, settings, table, upstream};
+use crate::forward_harness::{
+    Harness, LOW, harness, request, served_reply, service_route, settings, table, upstream,
+};
 use medlarpost_core::prelude::*;
 
 const REVOKE_WITHIN: Duration = Duration::from_secs(5);
@@ -250,6 +252,43 @@
     assert_eq!(outcome(&mut harness, KEYED_PATH, key("k-2")), named("b"));
 }
 
+/// Guards against a workspace whose requests are refused by the priority of the route, although it has one of its own.
+#[test]
+fn priority_of_a_workspace_replaces_that_of_the_route() {
+    let urgent = WorkspaceSettings {
+        rank: Some(0),
+        ..workspace("urgent", &["k-1"])
+    };
+    let late = WorkspaceSettings {
+        rank: Some(9),
+        ..workspace("late", &["k-2"])
+    };
+    let mut harness = confirmed_harness(vec![urgent, late, workspace("plain", &["k-3"])]);
+    queue_requests(&mut harness, 16);
+    let mut ask = |credential| outcome(&mut harness, KEYED_PATH, credential);
+
+    assert_eq!(ask(key("k-1")), named("urgent"));
+    assert!(matches!(ask(key("k-2")), Outcome::Refused(_)));
+    assert_eq!(ask(key("k-3")), named("plain"), "the route has rank 1");
+}
+
+/// Makes the upstream reply in 18 ms, and report that many requests are waiting.
+fn queue_requests(harness: &mut Harness, waiting: u32) {
+    harness.send_request(ForwardRequest {
+        credential: key("k-1"),
+        ..request(KEYED_PATH)
+    });
+    let sent = harness.take_sent().remove(0);
+    harness.advance(Duration::from_millis(18));
+    let load = ReportedLoad {
+        running: 3,
+        waiting,
+        slots: 3,
+    };
+    harness.end_attempt_with_load(&sent, served_reply(LOW), Some(load));
+    harness.take_answers();
+}
+
 /// Guards against keys in logs and messages of failed assertions: neither the key nor its complete digest is written.
 #[test]
 fn debug_output_shows_no_key() {
--- a/crates/node/src/configuration_confirmation.rs
+++ b/crates/node/src/configuration_confirmation.rs
@@ -17,9 +17,19 @@
 pub(crate) struct ConfigurationConfirmation {
     clock: BootClock,
     lease: KeyLease,
-    /// Version of the configuration that the registry holds. `None` if it is not known: nothing was read, the
-    /// configuration is unreadable or was removed, or it came from another node, which does not pass on unreadable ones.
-    version: Option<u64>,
+    held: HeldConfiguration,
+}
+
+/// What the registry is known to hold as the configuration.
+#[derive(Clone, Copy, Debug)]
+enum HeldConfiguration {
+    /// Not read from the registry itself. Another node's snapshot does not tell, because nodes don't pass on a configuration
+    /// that they can't read.
+    Unread,
+    /// None, or one that can't be read.
+    Unusable,
+    /// One of this version.
+    Version(u64),
 }
 
 impl ConfigurationConfirmation {
@@ -27,7 +37,7 @@
         Self {
             clock,
             lease: KeyLease::default(),
-            version: None,
+            held: HeldConfiguration::Unread,
         }
     }
 
@@ -42,25 +52,34 @@
     /// Records what a document says about the configuration that the registry holds.
     pub(crate) fn record_document(&mut self, document: &RegistryDocument) {
         match document {
-            RegistryDocument::Configuration(table) => self.version = Some(table.version),
-            RegistryDocument::UnreadableConfiguration { .. } => self.version = None,
+            RegistryDocument::Configuration(table) => {
+                self.held = HeldConfiguration::Version(table.version);
+            }
+            RegistryDocument::UnreadableConfiguration { .. } => self.record_none(),
             _ => {}
         }
     }
 
-    /// Records that the configuration of the registry is not known until it is read again.
-    pub(crate) fn forget_version(&mut self) {
-        self.version = None;
+    /// Records that the registry holds no configuration, as far as its documents have been applied.
+    pub(crate) fn record_none(&mut self) {
+        self.held = HeldConfiguration::Unusable;
     }
 
-    /// Whether keys are accepted only while the configuration is confirmed.
-    pub(crate) fn is_required(&self) -> bool {
-        self.lease.duration().is_some()
+    /// Records that the documents that were applied last came from another node.
+    pub(crate) fn record_peer_snapshot(&mut self) {
+        self.held = HeldConfiguration::Unread;
+    }
+
+    /// Whether the next read must be a listing: a watch would not show a configuration that has not changed.
+    pub(crate) fn needs_listing(&self) -> bool {
+        self.lease.duration().is_some() && matches!(self.held, HeldConfiguration::Unread)
     }
 
     /// Event for a read that shows the registry's configuration at time `at`; `None` if it has none that is known.
     pub(crate) fn confirm(&mut self, at: BootTime) -> Option<ForwardEvent> {
-        let version = self.version?;
+        let HeldConfiguration::Version(version) = self.held else {
+            return None;
+        };
         self.lease.confirm(at);
         Some(ForwardEvent::ConfigurationConfirmed { version, at })
     }
@@ -69,7 +88,7 @@
     /// the wait: a reply that seems early would confirm less.
     pub(crate) fn limit_wait(&self, wait: Duration) -> Duration {
         match self.lease.time_left(self.now()) {
-            Some(left) if self.version.is_some() => {
+            Some(left) if matches!(self.held, HeldConfiguration::Version(_)) => {
                 let wait = wait.min(left.saturating_sub(READ_TIME));
                 Duration::from_millis(wait.as_millis() as u64)
             }
@@ -85,7 +104,7 @@
             return interval;
         };
         let mut longest = lease.mul_f64(MAX_INTERVAL_SHARE);
-        if self.version.is_some() {
+        if matches!(self.held, HeldConfiguration::Version(_)) {
             longest = longest.min(left.saturating_sub(READ_TIME));
         }
         interval.min(longest.max(MIN_INTERVAL))
--- a/crates/node/src/registry_watcher.rs
+++ b/crates/node/src/registry_watcher.rs
@@ -173,6 +173,9 @@
     async fn read_registry(&mut self) -> Result<(), RegistryError> {
         let revoke_within = self.settings().revoke_within;
         self.confirmation.set_revoke_within(revoke_within);
+        if self.confirmation.needs_listing() {
+            self.revision = None;
+        }
         match self.revision {
             None if self.entry_keys.is_empty() => self.first_read().await?,
             None => {
@@ -261,11 +264,7 @@
         let current = snapshot.current;
         if snapshot.revision > self.items.borrow().revision() {
             self.apply_listing(snapshot);
-            self.confirmation.forget_version();
-            if self.confirmation.is_required() {
-                // A watch from the snapshot's revision would not show a configuration that the other node can't read.
-                self.revision = None;
-            }
+            self.confirmation.record_peer_snapshot();
         }
         if current {
             self.deregister_expired();
@@ -316,7 +315,7 @@
 
     fn apply_listing(&mut self, listing: Snapshot) {
         self.record_revision(listing.revision);
-        self.confirmation.forget_version();
+        self.confirmation.record_none();
         let mut seen = HashSet::new();
         let mut keys = HashSet::new();
         let mut evacuated_zones = BTreeSet::new();
@@ -410,7 +409,7 @@
             }
             Some(Removal::ConfigurationRemoved) => {
                 warn!(self.log, "configuration_removed");
-                self.confirmation.forget_version();
+                self.confirmation.record_none();
             }
             None => {}
         }
