--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -249,17 +249,12 @@
 
     /// Returns the named workspace if the token is one of its own. Every hash of the workspace is compared in constant time.
     pub(crate) fn authenticate(&self, name: &str, token: &str) -> Option<WorkspaceKey> {
-        use subtle::ConstantTimeEq as _;
         let digest = Digest::of(token.as_bytes());
         let (key, workspace) = self
             .workspaces
             .iter()
             .find(|(_, workspace)| workspace.name == name)?;
-        let known = workspace
-            .token_sha256
-            .iter()
-            .fold(0, |known, hash| known | hash.0.ct_eq(&digest.0).unwrap_u8());
-        (known == 1).then_some(key)
+        digest.is_any_of(&workspace.token_sha256).then_some(key)
     }
 
     /// Like [`Shared::authenticate`], with a refusal as the error.
--- a/crates/core/src/forward_command.rs
+++ b/crates/core/src/forward_command.rs
@@ -46,6 +46,13 @@
         /// Reply, merged records or refusal.
         answer: ForwardAnswer,
     },
+    /// Count the answer to this caller for a workspace; sent before the answer.
+    CountForWorkspace {
+        /// Caller that waits for the answer.
+        caller: CallerKey,
+        /// Workspace that holds its key.
+        workspace: Arc<str>,
+    },
     /// Announce to the other nodes that this request crashes upstreams.
     AnnounceQuarantine(Digest),
     /// Tell the other nodes what an upstream says of itself.
@@ -99,6 +106,17 @@
         /// Version of the configuration that it was checked against.
         version: u64,
     },
+    /// A request was refused because the configuration has not been confirmed for so long that its key may be revoked.
+    RefusedUnconfirmed {
+        /// Id of the caller's request.
+        request: Arc<str>,
+        /// Name of its route.
+        route: Arc<str>,
+        /// Version of the configuration in force.
+        version: u64,
+        /// Time since the configuration was confirmed; `None` if it never was.
+        age: Option<Duration>,
+    },
     /// Requests with this digest crash upstreams and are refused for a while.
     RequestQuarantined {
         /// Digest of the requests.
