Bound requests by the schedule of a shutdown

A node that was told to stop read slow requests to their end, forwarded them and exited before the upstream replied. One schedule (`ShutdownSchedule`) now says when the node stops listening, by when it answers and when it exits. The chart `shutdown` drives the stages; requests get their deadline from `AnswerDeadline`, which can't be made without the schedule. What can't be answered in time, by what recent replies took and for bookings at least by the objective, is refused as not run; requests that are still incomplete are refused unread; requests that still run are answered before the exit. A request that was read behind another one on its connection is answered too. Further signals are logged and change nothing.

Tests of core (forwarding, shutdown, charts) and of the platform adapter pass.

--- a/crates/core/src/forward_admission.rs
+++ b/crates/core/src/forward_admission.rs
@@ -84,14 +84,17 @@
             let retry_after = route.objective.mul_f64(RETRY_AFTER_OBJECTIVE_SHARE);
             return commands.push(refuse(ForwardRefusal::Unavailable { retry_after }));
         }
-        let merge = match &route.target {
-            Target::Shards(target) => Some(ShardMerge {
-                records: RecordMerge::new(target.limit),
-                proofs: Vec::with_capacity(target.services.len()),
-                min_coverage: target.min_coverage,
-            }),
-            Target::Service(_) | Target::Split(_) => None,
-        };
+        let margin = self.settings.answer_margin;
+        let wait = request.time_left.saturating_sub(margin).min(route.timeout);
+        let deadline = AnswerDeadline::new(now + wait, self.shutdown);
+        if let Some(retry_after) = self.shutdown_refusal(now, route, deadline) {
+            commands.push(ForwardCommand::Record(ForwardTelemetry::RefusedStopping {
+                request: Arc::clone(&request.id),
+                route: Arc::clone(&route.name),
+                time_left: deadline.at().since(now),
+            }));
+            return commands.push(refuse(ForwardRefusal::Unavailable { retry_after }));
+        }
         let longest = self
             .longest_wait
             .entry(Arc::clone(&route.name))
@@ -99,18 +102,16 @@
         *longest = (*longest).max(request.time_left);
         // The objective counts from the caller's first attempt at this request.
         let waited = longest.saturating_sub(request.time_left);
-        let margin = self.settings.answer_margin;
         let objective = route.objective.saturating_sub(waited + margin);
-        let wait = request.time_left.saturating_sub(margin).min(route.timeout);
         let flow = self.flows.insert(Flow {
             state: self.flow_chart.initial(),
             caller,
             started_at: now,
             accept_partial_at: now + objective,
-            deadline: now + wait,
+            deadline,
             accepts_partial: false,
             shards,
-            merge,
+            merge: new_merge(route),
             may_have_run: false,
             failure: None,
             reply: None,
@@ -266,6 +267,18 @@
     }
 }
 
+/// Merge for the answers of a route's shards; `None` if the route has no shards.
+fn new_merge(route: &Route) -> Option<ShardMerge> {
+    match &route.target {
+        Target::Shards(target) => Some(ShardMerge {
+            records: RecordMerge::new(target.limit),
+            proofs: Vec::with_capacity(target.services.len()),
+            min_coverage: target.min_coverage,
+        }),
+        Target::Service(_) | Target::Split(_) => None,
+    }
+}
+
 /// A caller as its key shows it.
 struct IdentifiedCaller {
     identity: CallerIdentity,
--- a/crates/core/src/forward_command.rs
+++ b/crates/core/src/forward_command.rs
@@ -88,6 +88,15 @@
         /// Time after which enough of them take requests again.
         retry_after: Duration,
     },
+    /// A request was refused because the node exits before it could be answered.
+    RefusedStopping {
+        /// Id of the caller's request.
+        request: Arc<str>,
+        /// Name of its route.
+        route: Arc<str>,
+        /// Time in which an answer would have been possible.
+        time_left: Duration,
+    },
     /// A request was refused because it has no key that a workspace holds.
     RefusedUnauthenticated {
         /// Id of the caller's request.
--- a/crates/core/src/forward_event.rs
+++ b/crates/core/src/forward_event.rs
@@ -16,6 +16,8 @@
     ZonesEvacuated(BTreeSet<Arc<str>>),
     /// The limits in the settings have changed.
     LimitsChanged(FleetLimits),
+    /// The node is shutting down. Running requests and new ones must be answered within this schedule.
+    ShutdownBegan(ShutdownSchedule),
     /// Number of nodes that share the limits of upstreams, including this one.
     FleetSize(u32),
     /// Another node quarantined a request that crashes upstreams.
--- a/crates/core/src/forward_flow.rs
+++ b/crates/core/src/forward_flow.rs
@@ -16,7 +16,7 @@
     pub(crate) started_at: Timestamp,
     /// When a partial answer is preferred to a complete one that would miss the latency objective.
     pub(crate) accept_partial_at: Timestamp,
-    pub(crate) deadline: Timestamp,
+    pub(crate) deadline: AnswerDeadline,
     /// Whether `accept_partial_at` has passed and sufficient coverage completes the request.
     pub(crate) accepts_partial: bool,
     pub(crate) shards: Vec<ShardAttempts>,
@@ -100,9 +100,9 @@
     /// Next time at which a hedge, the objective or the deadline is due.
     pub(crate) fn next_due(&self) -> Timestamp {
         let completion_due = if self.accepts_partial || self.merge.is_none() {
-            self.deadline
+            self.deadline.at()
         } else {
-            self.accept_partial_at.min(self.deadline)
+            self.accept_partial_at.min(self.deadline.at())
         };
         let hedges = self.shards.iter().filter_map(|shard| shard.hedge_at);
         hedges.fold(completion_due, Timestamp::min)
--- a/crates/core/src/forward_sends.rs
+++ b/crates/core/src/forward_sends.rs
@@ -66,12 +66,18 @@
         commands: &mut Vec<ForwardCommand>,
     ) -> Result<(), SendDenial> {
         let flow = &self.flows[flow_key];
-        if flow.deadline.since(now) < MIN_TIME_LEFT {
+        if flow.deadline.at().since(now) < MIN_TIME_LEFT {
             return Err(SendDenial::TooLittleTime);
         }
         let (route, table) = (flow.route, Arc::clone(&flow.table));
         let route = table.route(route);
         let service = flow.shards[shard].service;
+        if !flow
+            .deadline
+            .allows_attempt(now, || self.needed_reply_time(route))
+        {
+            return Err(SendDenial::TooLittleTime);
+        }
         let objective = route.objective;
         let times = *self
             .reply_times
@@ -130,7 +136,7 @@
             upstream,
             request: Arc::clone(&flow.request),
             identity: flow.identity.clone(),
-            deadline: flow.deadline,
+            deadline: flow.deadline.at(),
             at_most_once: !route.idempotent,
         });
         Ok(())
--- a/crates/core/src/forward_timers.rs
+++ b/crates/core/src/forward_timers.rs
@@ -17,7 +17,7 @@
             flow.timer = None;
             let objective_due =
                 flow.merge.is_some() && !flow.accepts_partial && flow.accept_partial_at <= now;
-            if flow.deadline <= now {
+            if flow.deadline.at() <= now {
                 self.advance_flow(now, key, FlowEvent::DeadlineDue, commands);
             } else if objective_due {
                 self.advance_flow(now, key, FlowEvent::ObjectiveDue, commands);
--- a/crates/core/src/forwarder.rs
+++ b/crates/core/src/forwarder.rs
@@ -90,6 +90,8 @@
     pub(crate) quarantine: RequestQuarantine,
     absent_upstreams: AbsentUpstreams,
     pub(crate) fleet_size: u32,
+    /// Set once the node shuts down.
+    pub(crate) shutdown: Option<ShutdownSchedule>,
     pub(crate) reply_times: HashMap<Arc<str>, ReplyTimes>,
     /// Longest time left of any request of a route. A request with less has been repeated, and the difference is how
     /// long its caller has waited already.
@@ -144,6 +146,7 @@
             evacuated_zones: BTreeSet::new(),
             quarantine: RequestQuarantine::default(),
             absent_upstreams: AbsentUpstreams::default(),
+            shutdown: None,
             reply_times: HashMap::new(),
             longest_wait: HashMap::new(),
             split_credit: HashMap::new(),
@@ -168,6 +171,7 @@
             }
             ForwardEvent::ZonesEvacuated(zones) => self.evacuated_zones = zones,
             ForwardEvent::LimitsChanged(limits) => self.settings.limits = limits,
+            ForwardEvent::ShutdownBegan(schedule) => self.begin_shutdown(schedule),
             ForwardEvent::FleetSize(size) => self.fleet_size = size.max(1),
             ForwardEvent::QuarantinedElsewhere { digest, age } => {
                 if self.quarantine.quarantine_from_peer(now, digest, age) {
--- a/crates/core/src/prelude.rs
+++ b/crates/core/src/prelude.rs
@@ -2,6 +2,7 @@
 
 pub use crate::{
     answer::{Answer, Coverage, Hit, MissingReason, MissingShard},
+    answer_deadline::AnswerDeadline,
     bundle::{
         Bundle, DeploymentLimits, LateShardPreference, LoadPolicy, Service, ServiceKind,
         ShardLayout, Tenant, TenantClass, Upstream, UpstreamState, Zone, ZoneState,
@@ -49,6 +50,9 @@
         CallerLimits, Route, RouteIndex, RoutingTable, ServiceSettings, ShardTarget, Target,
     },
     send_denial::SendDenial,
+    shutdown::Shutdown,
+    shutdown_chart::{ShutdownAction, ShutdownEvent, ShutdownMachine, ShutdownState},
+    shutdown_schedule::ShutdownSchedule,
     snapshot::{PublishedItem, Snapshot, SnapshotRequest},
     timestamp::Timestamp,
     upstream_notice::{NoticeKind, UpstreamNotice},
--- a/crates/core/src/reply_times.rs
+++ b/crates/core/src/reply_times.rs
@@ -5,6 +5,9 @@
 /// Weight of a new sample in the averages.
 const SAMPLE_WEIGHT: f64 = 0.05;
 
+/// Weight of a new sample in the recent mean.
+const RECENT_SAMPLE_WEIGHT: f64 = 0.2;
+
 /// Mean absolute deviations above the mean after which a reply is late.
 const LATE_DEVIATIONS: f64 = 3.0;
 
@@ -23,6 +26,8 @@
     mean: f64,
     /// Mean absolute deviation, in seconds.
     deviation: f64,
+    /// Mean of the last few replies, in seconds. Slow replies count in full, so that it shows what upstreams need now.
+    recent_mean: f64,
 }
 
 impl ReplyTimes {
@@ -33,11 +38,14 @@
             objective,
             mean,
             deviation: mean / 2.0,
+            recent_mean: mean,
         }
     }
 
     /// Adds the time of one reply.
     pub(crate) fn add(&mut self, time: Duration) {
+        let recent_difference = time.as_secs_f64() - self.recent_mean;
+        self.recent_mean += RECENT_SAMPLE_WEIGHT * recent_difference;
         // A sample above the mean counts as at most twice the mean, so that a slow upstream does not raise the mean by
         // which it is judged.
         let difference = (time.as_secs_f64() - self.mean).min(self.mean);
@@ -53,6 +61,11 @@
         self.mean
     }
 
+    /// Mean of the last few replies.
+    pub(crate) fn recent_mean(&self) -> Duration {
+        Duration::from_secs_f64(self.recent_mean)
+    }
+
     /// Time after which a reply is late and a hedge is sent.
     pub(crate) fn late_after(&self) -> Duration {
         let late = self.mean + LATE_DEVIATIONS * self.deviation;
--- a/crates/core/tests/forwarding/main.rs
+++ b/crates/core/tests/forwarding/main.rs
@@ -9,3 +9,4 @@
 mod overload;
 mod replicas;
 mod schedules;
+mod shutdown;
--- a/crates/core/tests/forwarding/schedules.rs
+++ b/crates/core/tests/forwarding/schedules.rs
@@ -83,6 +83,7 @@
     running: Vec<(CallerKey, Sent)>,
     evacuated_zones: BTreeSet<Arc<str>>,
     version: u64,
+    shutdown: Option<ShutdownSchedule>,
 }
 
 impl Model {
@@ -98,9 +99,18 @@
             running: Vec::new(),
             evacuated_zones: BTreeSet::new(),
             version: 1,
+            shutdown: None,
         }
     }
 
+    fn shut_down(&mut self, stop_within: Duration) {
+        let schedule = ShutdownSchedule::new(self.harness.now, stop_within / 2, stop_within);
+        self.shutdown = Some(schedule);
+        self.harness.handle(ForwardEvent::ShutdownBegan(schedule));
+        // Delivers the wakeups that the schedule makes due at once.
+        self.harness.advance(Duration::ZERO);
+    }
+
     fn apply_step(&mut self, step: &Step) -> Result<(), TestCaseError> {
         match *step {
             Step::SendRequest(path) => {
@@ -177,6 +187,12 @@
 
     /// Takes what was sent and answered, and checks it against the model.
     fn check_outputs(&mut self) -> Result<(), TestCaseError> {
+        let is_over = self
+            .shutdown
+            .is_some_and(|schedule| schedule.answer_by() <= self.harness.now);
+        if is_over {
+            prop_assert_eq!(self.harness.forwarder.running_requests(), 0);
+        }
         for (caller, sent) in self.harness.take_sent_with_callers() {
             let zone = sent
                 .instance
@@ -230,12 +246,18 @@
     #![proptest_config(ProptestConfig { cases: 300, failure_persistence: None, rng_seed: prop::test_runner::RngSeed::Fixed(7), ..ProptestConfig::default() })]
 
     /// Guards against interleavings in which a booking may run twice, a refusal wrongly states `not run`, a caller gets
-    /// no answer or two, or an evacuated zone is used.
+    /// no answer or two, an evacuated zone is used, or a request outlives a shutdown.
     #[test]
-    fn guarantees_hold_under_any_schedule(steps in proptest::collection::vec(step(), 1..120)) {
+    fn guarantees_hold_under_any_schedule(
+        steps in proptest::collection::vec(step(), 1..120),
+        shutdown in proptest::option::of((0..120_usize, 0..2_000_u64)),
+    ) {
         let mut model = Model::new();
 
-        for step in &steps {
+        for (number, step) in steps.iter().enumerate() {
+            if let Some((at, ms)) = shutdown && at == number {
+                model.shut_down(Duration::from_millis(ms));
+            }
             model.apply_step(step)?;
         }
         while let Some((_, sent)) = model.running.pop() {
--- a/crates/medlarpost/src/platform_run.rs
+++ b/crates/medlarpost/src/platform_run.rs
@@ -3,7 +3,7 @@
 use crate::run::{EXIT_INVALID_SETTINGS, StopSignals, await_signal, finish, start_log_queue};
 use medlarpost_node::{forward_node::ForwardNode, key_value_drain, prelude::NodeError};
 use medlarpost_platform::{PlatformDialect, PlatformSettings, PlatformStore};
-use slog::{Level, Logger, error, o};
+use slog::{Level, Logger, error, o, warn};
 use std::{path::Path, process::ExitCode};
 use tokio::signal::unix::{SignalKind, signal};
 
@@ -28,15 +28,13 @@
 async fn run_node(path: &Path, settings: &PlatformSettings, log: Logger) -> Result<(), NodeError> {
     let seed = random_seed();
     let store = PlatformStore::new(settings.store_address());
-    let stop = StopSignals::install();
+    let mut stop = StopSignals::install();
     let mut hangup = signal(SignalKind::hangup()).ok();
     let node = ForwardNode::bind(settings.node_settings(seed), log.clone())?;
     let mut node = node.start(PlatformDialect, store)?;
-    let stop = stop.received();
-    tokio::pin!(stop);
     loop {
         tokio::select! {
-            () = &mut stop => break,
+            () = stop.received() => break,
             task = node.failed_task() => return Err(NodeError::TaskFailed { task }),
             () = await_signal(&mut hangup) => match PlatformSettings::read(path) {
                 Ok(settings) => node.reload(&settings.node_settings(seed)),
@@ -44,8 +42,15 @@
             },
         }
     }
-    let _all_answered = node.drain().await;
-    Ok(())
+    let drain = node.drain();
+    tokio::pin!(drain);
+    loop {
+        tokio::select! {
+            _all_closed = &mut drain => return Ok(()),
+            () = stop.received() => warn!(log, "signal_ignored"; "reason" => "the node is stopping already"),
+            () = await_signal(&mut hangup) => warn!(log, "signal_ignored"; "reason" => "a stopping node reloads nothing"),
+        }
+    }
 }
 
 /// Seed for random choices. It need not be unpredictable but should differ between nodes, so the process id is good
--- a/crates/medlarpost/src/run.rs
+++ b/crates/medlarpost/src/run.rs
@@ -64,7 +64,7 @@
 }
 
 async fn run_node(settings: Settings, tls: TlsConfigs, log: Logger) -> Result<(), NodeError> {
-    let stop = StopSignals::install();
+    let mut stop = StopSignals::install();
     let node = Node::bind(settings, log)?.with_tls(tls).start()?;
     stop.received().await;
     node.drain().await.stop().await;
@@ -104,7 +104,7 @@
     }
 
     /// Waits until one of the signals arrives.
-    pub(crate) async fn received(mut self) {
+    pub(crate) async fn received(&mut self) {
         tokio::select! {
             () = await_signal(&mut self.terminate) => {}
             () = await_signal(&mut self.interrupt) => {}
--- a/crates/node/src/caller_connection.rs
+++ b/crates/node/src/caller_connection.rs
@@ -33,20 +33,31 @@
     /// Size and time limits for requests; they follow the configuration.
     pub(crate) limits: watch::Receiver<CallerLimits>,
     pub(crate) phase: watch::Receiver<ListenerPhase>,
+    pub(crate) clock: Clock,
     pub(crate) config: ServiceConfig,
     pub(crate) log: Logger,
 }
 
-/// How caller connections are treated while the node serves or drains.
+/// How caller connections are treated while the node serves or shuts down.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum ListenerPhase {
     /// Connections stay open between requests.
     #[default]
     Open,
     /// Each connection closes after its next answer.
-    Closing,
+    Closing(ShutdownSchedule),
     /// Idle connections close at once, the others after their answer.
-    Ending,
+    Ending(ShutdownSchedule),
+}
+
+impl ListenerPhase {
+    /// Schedule of the shutdown, if it has begun.
+    fn shutdown(self) -> Option<ShutdownSchedule> {
+        match self {
+            Self::Open => None,
+            Self::Closing(schedule) | Self::Ending(schedule) => Some(schedule),
+        }
+    }
 }
 
 struct CallerConnection<D> {
@@ -63,6 +74,8 @@
     Closed,
     /// The request is malformed, too large or too slow: the caller gets this status, and its connection is closed.
     Rejected(StatusCode),
+    /// The node exits before the request could be answered: the caller is told that it has not run.
+    Stopping(ShutdownSchedule),
 }
 
 /// Serves a caller connection until either side closes it.
@@ -91,6 +104,7 @@
                 debug!(self.parts.log, "request_rejected"; "status" => status.as_u16());
                 return self.write_answer(HttpAnswer::empty(status), true).await;
             }
+            Err(ReadError::Stopping(schedule)) => return self.refuse_unread(schedule).await,
         };
         let request = match self.parts.dialect.parse_request(head.head(), body) {
             Ok(request) => Arc::new(request),
@@ -108,6 +122,15 @@
         self.write_answer(answer, false).await
     }
 
+    /// Refuses a request that has not arrived completely in time, because the node exits.
+    async fn refuse_unread(&mut self, schedule: ShutdownSchedule) -> bool {
+        info!(self.parts.log, "refused_unread");
+        let retry_after = schedule.retry_after(self.parts.clock.now());
+        let refusal = ForwardAnswer::Refused(ForwardRefusal::Unavailable { retry_after });
+        let answer = self.parts.dialect.encode_answer(refusal);
+        self.write_answer(answer, true).await
+    }
+
     async fn read_request(&mut self) -> Result<(Request, Bytes), ReadError> {
         let limits = *self.parts.limits.borrow();
         let mut deadline = None;
@@ -150,7 +173,7 @@
     /// Waits for the first byte of a request. Fails once the connection is idle for too long or the node stops.
     async fn await_first_byte(&mut self, idle_timeout: Duration) -> Result<(), ReadError> {
         loop {
-            let ending = *self.parts.phase.borrow() == ListenerPhase::Ending;
+            let ending = matches!(*self.parts.phase.borrow(), ListenerPhase::Ending(_));
             let idle_timeout = if ending {
                 LAST_REQUEST_GRACE
             } else {
@@ -199,11 +222,29 @@
     }
 
     async fn fill_until(&mut self, deadline: Instant) -> Result<(), ReadError> {
-        match tokio::time::timeout_at(deadline, self.stream.fill()).await {
-            Ok(Ok(0) | Err(_)) => Err(ReadError::Closed),
-            Ok(Ok(_)) => Ok(()),
-            // The request is incomplete and has not been forwarded.
-            Err(_elapsed) => Err(ReadError::Rejected(StatusCode::REQUEST_TIMEOUT)),
+        loop {
+            let shutdown = self.parts.phase.borrow_and_update().shutdown();
+            let read_until =
+                shutdown.map(|schedule| self.parts.clock.instant(schedule.answer_by()));
+            let now = Instant::now();
+            if let Some(schedule) = shutdown.filter(|_| read_until <= Some(now)) {
+                return Err(ReadError::Stopping(schedule));
+            }
+            let until = read_until.map_or(deadline, |at| at.min(deadline));
+            tokio::select! {
+                biased;
+                filled = self.stream.fill() => return match filled {
+                    Ok(0) | Err(_) => Err(ReadError::Closed),
+                    Ok(_) => Ok(()),
+                },
+                changed = self.parts.phase.changed() => if changed.is_err() {
+                    return Err(ReadError::Closed);
+                },
+                // The request is incomplete and has not been forwarded.
+                () = tokio::time::sleep_until(until) => if until == deadline {
+                    return Err(ReadError::Rejected(StatusCode::REQUEST_TIMEOUT));
+                },
+            }
         }
     }
 
@@ -240,10 +281,17 @@
         }
     }
 
-    /// Writes an answer, and asks the caller to close the connection if `close` is set or the node is draining. Returns
-    /// whether the connection stays open.
+    /// Whether the caller has sent more than it has been answered.
+    fn has_further_input(&self) -> bool {
+        let mut input = self.stream.input.iter();
+        input.any(|byte| !byte.is_ascii_whitespace())
+    }
+
+    /// Writes an answer, and asks the caller to close the connection if `close` is set or the node is shutting down and
+    /// has read nothing of a further request. Returns whether the connection stays open.
     async fn write_answer(&mut self, answer: HttpAnswer, close: bool) -> bool {
-        let closing = close || *self.parts.phase.borrow() != ListenerPhase::Open;
+        let stopping = self.parts.phase.borrow().shutdown().is_some();
+        let closing = close || (stopping && !self.has_further_input());
         let mut res = Response::with_body(answer.status, ());
         *res.headers_mut() = answer.headers;
         if closing {
--- a/crates/node/src/forward_log.rs
+++ b/crates/node/src/forward_log.rs
@@ -35,6 +35,12 @@
             retry_after,
         } => info!(log, "refused_resting"; "request" => &**request, "route" => &**route,
             "retry_after_ms" => retry_after.as_millis() as u64),
+        ForwardTelemetry::RefusedStopping {
+            request,
+            route,
+            time_left,
+        } => info!(log, "refused_stopping"; "request" => &**request, "route" => &**route,
+            "time_left_ms" => time_left.as_millis() as u64),
         ForwardTelemetry::RefusedUnauthenticated {
             request,
             route,
@@ -74,13 +80,7 @@
             elapsed,
             version,
         } => {
-            let complete = matches!(*outcome, "reply" | "merged") && covered == shards;
-            let sampled = complete
-                && UNLOGGED_ANSWERS.with(|count| {
-                    count.set((count.get() + 1) % COMPLETE_ANSWERS_PER_LINE);
-                    count.get() == 0
-                });
-            if !complete || sampled {
+            if is_logged_answer(outcome, covered == shards) {
                 info!(log, "answered"; "request" => &**request, "route" => &**route, "outcome" => *outcome,
                     "covered" => *covered, "shards" => *shards, "elapsed_ms" => elapsed.as_millis() as u64,
                     "version" => *version);
@@ -114,3 +114,14 @@
         }
     }
 }
+
+/// Whether an answer is logged: all but complete ones, and a sample of those.
+fn is_logged_answer(outcome: &str, all_shards: bool) -> bool {
+    if !matches!(outcome, "reply" | "merged") || !all_shards {
+        return true;
+    }
+    UNLOGGED_ANSWERS.with(|count| {
+        count.set((count.get() + 1) % COMPLETE_ANSWERS_PER_LINE);
+        count.get() == 0
+    })
+}
--- a/crates/node/src/forward_metrics.rs
+++ b/crates/node/src/forward_metrics.rs
@@ -99,6 +99,9 @@
                     .with_label_values(&[notice.kind.name(), source])
                     .inc();
             }
+            ForwardTelemetry::RefusedStopping { .. } => {
+                self.given_up.with_label_values(&["stopping"]).inc();
+            }
             ForwardTelemetry::RefusedQuarantined { .. } => {
                 self.given_up.with_label_values(&["barred"]).inc();
             }
--- a/crates/node/src/forward_node.rs
+++ b/crates/node/src/forward_node.rs
@@ -72,6 +72,8 @@
     ready: watch::Sender<Readiness>,
     watch_settings: watch::Sender<WatchSettings>,
     open_connections: mpsc::Receiver<std::convert::Infallible>,
+    clock: Clock,
+    shutdown: Shutdown,
     /// Names of essential tasks that have ended by a panic.
     failed_tasks: mpsc::UnboundedReceiver<&'static str>,
 }
@@ -139,6 +141,7 @@
         } = self;
         let forwarder =
             Forwarder::new(settings.forwarder.clone()).context(node_error::ChartSnafu)?;
+        let shutdown = Shutdown::new().context(node_error::ChartSnafu)?;
         let metrics_registry = prometheus::Registry::new();
         let metrics =
             ForwardMetrics::register(&metrics_registry).context(node_error::MetricsSnafu)?;
@@ -198,6 +201,7 @@
             forward: forward.clone(),
             limits: limits_rx,
             phase: phase_rx,
+            clock,
             config,
             log: log.clone(),
         };
@@ -218,6 +222,8 @@
                 ready,
                 watch_settings,
                 open_connections,
+                clock,
+                shutdown,
                 failed_tasks,
             },
         })
@@ -252,22 +258,57 @@
     }
 
     /// Stops gracefully: fails the readiness check, keeps serving while the balancer may still send connections, then
-    /// stops listening and answers the requests that it has. Returns whether all of them were answered before
+    /// stops listening and answers the requests that it has. Returns whether all connections were closed before
     /// `stop_within` was over.
     pub async fn drain(mut self) -> bool {
-        let started = Instant::now();
         info!(self.log, "node_draining"; "stop_within_ms" => self.settings.stop_within.as_millis() as u64);
-        self.phase.ready.send_modify(|ready| ready.draining = true);
-        self.phase.phase.send_replace(ListenerPhase::Closing);
-        let latest = started + self.settings.stop_within;
-        tokio::time::sleep_until((started + self.settings.balancer_lag).min(latest)).await;
-        // Under load there may be no moment without a request, so that waiting for one would end with requests that have
-        // just arrived.
-        self.phase.phase.send_replace(ListenerPhase::Ending);
-        let closed = tokio::time::timeout_at(latest, self.phase.open_connections.recv()).await;
-        info!(self.log, "node_stopped"; "all_connections_closed" => closed.is_ok(),
-            "after_ms" => started.elapsed().as_millis() as u64);
-        closed.is_ok()
+        let clock = self.phase.clock;
+        let started = clock.now();
+        let settings = &self.settings;
+        let schedule = ShutdownSchedule::new(started, settings.balancer_lag, settings.stop_within);
+        let mut actions = self.phase.shutdown.begin(schedule).to_vec();
+        let mut all_closed = false;
+        loop {
+            for action in actions {
+                self.phase.carry_out(action, schedule);
+            }
+            let Some((at, due)) = self.phase.shutdown.next_due() else {
+                break;
+            };
+            let event = tokio::select! {
+                biased;
+                _none = self.phase.open_connections.recv() => ShutdownEvent::ConnectionsClosed,
+                () = tokio::time::sleep_until(clock.instant(at)) => due,
+            };
+            all_closed = event == ShutdownEvent::ConnectionsClosed;
+            actions = self.phase.shutdown.handle(event).to_vec();
+        }
+        info!(self.log, "node_stopped"; "all_connections_closed" => all_closed,
+            "after_ms" => clock.now().since(started).as_millis() as u64);
+        all_closed
+    }
+}
+
+impl Serving {
+    fn carry_out(&self, action: ShutdownAction, schedule: ShutdownSchedule) {
+        match action {
+            ShutdownAction::FailReadiness => {
+                self.ready.send_modify(|ready| ready.draining = true);
+            }
+            ShutdownAction::BoundRequests => {
+                let event = ForwardEvent::ShutdownBegan(schedule);
+                // The receiver ends only with the process.
+                let _ended = self.forward.send(ForwardMessage::Event(event));
+            }
+            ShutdownAction::CloseAfterAnswers => {
+                self.phase.send_replace(ListenerPhase::Closing(schedule));
+            }
+            // Under load there may be no moment without a request, so that waiting for one would end with requests that
+            // have just arrived.
+            ShutdownAction::StopListening => {
+                self.phase.send_replace(ListenerPhase::Ending(schedule));
+            }
+        }
     }
 }
 
@@ -328,7 +369,7 @@
             () = sleep_until_some(end) => return,
             accepted = listener.accept() => accepted,
             changed = phase.changed(), if end.is_none() => {
-                if changed.is_err() || *phase.borrow() == ListenerPhase::Ending {
+                if changed.is_err() || matches!(*phase.borrow(), ListenerPhase::Ending(_)) {
                     end = Some(Instant::now() + BACKLOG_GRACE);
                 }
                 continue;
