Soak: let some callers send slowly

Cause: no caller of the soak sent a request in pieces, so that no node read one across a SIGTERM. Change: every fourth caller sends bookings in nine pieces, over up to 2.8 s for head and body together. An answer that comes before the whole request is read and counted.

--- a/crates/medlarctl/src/soak_caller.rs
+++ b/crates/medlarctl/src/soak_caller.rs
@@ -29,6 +29,17 @@
 /// Mean number of requests on a connection before the caller drops it, so that new ones are opened.
 const MEAN_REQUESTS_PER_CONNECTION: u32 = 50;
 
+/// One caller in this many sends bookings in pieces, as over a slow link. A node that stops meanwhile has read a part of
+/// them.
+const CALLERS_PER_SLOW: usize = 4;
+
+/// Time that a slow caller takes to send a request, in milliseconds. Nodes allow 3 s for the head and as much for the
+/// body.
+const SENDING_TIME_MS: std::ops::Range<u64> = 500..2_800;
+
+/// Number of pieces in which a slow caller sends a request.
+const PIECES: usize = 9;
+
 /// State of the fleet that callers need to choose nodes and routes.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct CallersView {
@@ -111,11 +122,13 @@
         } else {
             REQUEST_DEADLINE + DEADLINE_TOLERANCE
         };
-        let written = caller.try_send(&text).await;
-        let received = match written {
-            Ok(()) => caller.read_answer_within(timeout).await,
-            Err(_) => Err(AnswerError::ConnectionClosed),
+        // A node may answer before it has read the whole request, and closes the connection then.
+        let _refused_early = if self.is_slow() {
+            self.send_in_pieces(&mut caller, &text).await
+        } else {
+            caller.try_send(&text).await
         };
+        let received = caller.read_answer_within(timeout).await;
         let (outcome, stays_open) = match received {
             Ok(answer) => {
                 let stays_open = !answer.closes_connection();
@@ -130,15 +143,32 @@
         stays_open.then_some((node, caller))
     }
 
+    fn is_slow(&self) -> bool {
+        self.number.is_multiple_of(CALLERS_PER_SLOW)
+    }
+
+    async fn send_in_pieces(&mut self, caller: &mut Caller, text: &str) -> std::io::Result<()> {
+        let pause = Duration::from_millis(self.random.u64(SENDING_TIME_MS)) / PIECES as u32;
+        let size = text.len().div_ceil(PIECES);
+        let mut rest = text;
+        while !rest.is_empty() {
+            tokio::time::sleep(pause).await;
+            let (piece, left) = rest.split_at(size.min(rest.len()));
+            caller.try_send(piece).await?;
+            rest = left;
+        }
+        Ok(())
+    }
+
     fn random_request(&mut self, id: &str) -> (RequestKind, String, String) {
+        if self.is_slow() {
+            return booking_request(id);
+        }
         let added_routes = self.view.borrow().added_routes.clone();
         match self.random.u32(..20) {
             0..=9 => (RequestKind::Query, format!("GET /q/{id}"), String::new()),
             10..=13 => (RequestKind::Read, format!("GET /read/{id}"), String::new()),
-            14..=18 => {
-                let body = format!("booking-{id}");
-                (RequestKind::Book, format!("POST /book/{id}"), body)
-            }
+            14..=18 => booking_request(id),
             _ => {
                 let version = added_routes[self.random.usize(..added_routes.len())];
                 let line = format!("GET /added-{version}/{id}");
@@ -152,3 +182,8 @@
         let _ended = self.observations.send(observation);
     }
 }
+
+fn booking_request(id: &str) -> (RequestKind, String, String) {
+    let body = format!("booking-{id}");
+    (RequestKind::Book, format!("POST /book/{id}"), body)
+}
