Estimate the time for a reply at the end of a shutdown from recent replies

Cause: the objective as the least time for a booking refuses bookings of routes with long objectives from the signal on, though their replies are fast. Change: mean and mean deviation of the last few replies; the objective counts only before the first reply.

--- a/crates/core/src/forward_shutdown.rs
+++ b/crates/core/src/forward_shutdown.rs
@@ -2,9 +2,6 @@
 
 use crate::{prelude::*, reply_times::ReplyTimes};
 
-/// Time for the reply to a request that must not run twice, as a multiple of the mean, because replies vary.
-const AT_MOST_ONCE_TIME_FACTOR: f64 = 1.1;
-
 impl Forwarder {
     /// Ends running requests in time to answer them before the process exits.
     pub(crate) fn begin_shutdown(&mut self, schedule: ShutdownSchedule) {
@@ -29,16 +26,15 @@
         (!in_time).then(|| schedule.retry_after(now))
     }
 
-    /// Time that a request needs for its reply before the end of a shutdown: what recent ones took. One that must not run
-    /// twice needs more and at least the objective, as nobody would know whether it ran if it were cut off.
+    /// Time that a request needs for its reply before the end of a shutdown. One that must not run twice is given more, as
+    /// nobody would know whether it ran if it were cut off.
     pub(crate) fn needed_reply_time(&self, route: &Route) -> Duration {
         let known = self.reply_times.get(&route.name);
         let times = known.map_or_else(|| ReplyTimes::new(route.objective), |times| *times);
         if route.idempotent {
-            times.recent_mean()
+            times.usual_time()
         } else {
-            let reply_time = times.recent_mean().mul_f64(AT_MOST_ONCE_TIME_FACTOR);
-            reply_time.max(route.objective)
+            times.safe_time()
         }
     }
 }
--- a/crates/core/src/reply_times.rs
+++ b/crates/core/src/reply_times.rs
@@ -5,9 +5,12 @@
 /// Weight of a new sample in the averages.
 const SAMPLE_WEIGHT: f64 = 0.05;
 
-/// Weight of a new sample in the recent mean.
+/// Weight of a new sample in the averages of the last few replies.
 const RECENT_SAMPLE_WEIGHT: f64 = 0.2;
 
+/// Mean absolute deviations above the recent mean within which nearly all replies come.
+const SAFE_DEVIATIONS: f64 = 2.0;
+
 /// Mean absolute deviations above the mean after which a reply is late.
 const LATE_DEVIATIONS: f64 = 3.0;
 
@@ -26,8 +29,32 @@
     mean: f64,
     /// Mean absolute deviation, in seconds.
     deviation: f64,
-    /// Mean of the last few replies, in seconds. Slow replies count in full, so that it shows what upstreams need now.
-    recent_mean: f64,
+    /// `None` before the first reply.
+    recent: Option<RecentReplies>,
+}
+
+/// Averages over the last few replies, in seconds. Slow replies count in full, so that they show what upstreams need now.
+#[derive(Clone, Copy, Debug)]
+struct RecentReplies {
+    mean: f64,
+    /// Mean absolute deviation.
+    deviation: f64,
+}
+
+impl RecentReplies {
+    /// Averages after the first reply.
+    fn first(secs: f64) -> Self {
+        Self {
+            mean: secs,
+            deviation: secs / 2.0,
+        }
+    }
+
+    fn add(&mut self, secs: f64) {
+        let difference = secs - self.mean;
+        self.mean += RECENT_SAMPLE_WEIGHT * difference;
+        self.deviation += RECENT_SAMPLE_WEIGHT * (difference.abs() - self.deviation);
+    }
 }
 
 impl ReplyTimes {
@@ -38,17 +65,20 @@
             objective,
             mean,
             deviation: mean / 2.0,
-            recent_mean: mean,
+            recent: None,
         }
     }
 
     /// Adds the time of one reply.
     pub(crate) fn add(&mut self, time: Duration) {
-        let recent_difference = time.as_secs_f64() - self.recent_mean;
-        self.recent_mean += RECENT_SAMPLE_WEIGHT * recent_difference;
+        let secs = time.as_secs_f64();
+        match &mut self.recent {
+            Some(recent) => recent.add(secs),
+            None => self.recent = Some(RecentReplies::first(secs)),
+        }
         // A sample above the mean counts as at most twice the mean, so that a slow upstream does not raise the mean by
         // which it is judged.
-        let difference = (time.as_secs_f64() - self.mean).min(self.mean);
+        let difference = (secs - self.mean).min(self.mean);
         self.mean += SAMPLE_WEIGHT * difference;
         self.deviation += SAMPLE_WEIGHT * (difference.abs() - self.deviation);
     }
@@ -61,9 +91,15 @@
         self.mean
     }
 
-    /// Mean of the last few replies.
-    pub(crate) fn recent_mean(&self) -> Duration {
-        Duration::from_secs_f64(self.recent_mean)
+    /// Time in which half of the replies may be expected.
+    pub(crate) fn usual_time(&self) -> Duration {
+        Duration::from_secs_f64(self.recent.map_or(self.mean, |recent| recent.mean))
+    }
+
+    /// Time in which nearly all replies may be expected: the objective before the first one.
+    pub(crate) fn safe_time(&self) -> Duration {
+        let safe = |recent: RecentReplies| recent.mean + SAFE_DEVIATIONS * recent.deviation;
+        Duration::from_secs_f64(self.recent.map_or(self.objective, safe))
     }
 
     /// Time after which a reply is late and a hedge is sent.
