Say what the deadline of a request guarantees

Cause: the comment promised that no deadline is made without the schedule of a shutdown, but a node that serves has none. Result: comments only; clippy clean.

--- a/crates/core/src/answer_deadline.rs
+++ b/crates/core/src/answer_deadline.rs
@@ -4,8 +4,8 @@
 
 /// Time by which a forwarded request must be answered.
 ///
-/// A shutdown of the node may end it early. Attempts are sent by this deadline only, and it can't be made without the
-/// schedule of a shutdown, so that no attempt outlives the process.
+/// A shutdown of the node may end it early. Running requests hold this type instead of a [`Timestamp`], so that code which
+/// starts or continues one has to say whether the node is shutting down.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct AnswerDeadline {
     at: Timestamp,
@@ -39,8 +39,8 @@
         self.at
     }
 
-    /// Whether an attempt may be sent at `now` to an upstream that needs `reply_time` to reply, which is asked for only
-    /// if a shutdown cuts the request short: another node has more time then.
+    /// Whether an attempt whose reply takes `reply_time` may be sent at `now`. Always, unless a shutdown cuts the request
+    /// short: another node has more time for it then. `reply_time` is called only in that case.
     pub fn allows_attempt(self, now: Timestamp, reply_time: impl FnOnce() -> Duration) -> bool {
         !self.is_cut_short || (now < self.at && reply_time() <= self.at.since(now))
     }
