--- a/crates/core/src/prelude.rs
+++ b/crates/core/src/prelude.rs
@@ -2,6 +2,7 @@
 
 pub use crate::{
     answer::{Answer, Coverage, Hit, MissingReason, MissingShard},
+    answer_deadline::AnswerDeadline,
     boot_time::BootTime,
     bundle::{
         Bundle, DeploymentLimits, LateShardPreference, LoadPolicy, Service, ServiceKind,
@@ -51,6 +52,9 @@
         CallerLimits, Route, RouteIndex, RoutingTable, ServiceSettings, ShardTarget, Target,
     },
     send_denial::SendDenial,
+    shutdown::Shutdown,
+    shutdown_chart::{ShutdownAction, ShutdownEvent, ShutdownMachine, ShutdownState},
+    shutdown_schedule::ShutdownSchedule,
     snapshot::{PublishedItem, Snapshot, SnapshotRequest},
     timestamp::Timestamp,
     upstream_notice::{NoticeKind, UpstreamNotice},
--- a/crates/core/tests/forwarding/main.rs
+++ b/crates/core/tests/forwarding/main.rs
@@ -10,3 +10,4 @@
 mod overload;
 mod replicas;
 mod schedules;
+mod shutdown;
