Add quotas of workspaces as decisions of the core

Cause: the quota of a workspace counts over all nodes, which share no state. Change: pure types for an owner with a token bucket, grants that end by themselves, a local allowance and the fleet view, with a simulated fleet. Not yet used by the forwarder.

--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -141,6 +141,29 @@
             .max(reported_fleet_size.map_or(0, |(fleet, _)| fleet))
     }
 
+    /// The members that are remembered, and the size of the fleet unless this node has heard of no other one yet. A node
+    /// without other seeds that nobody contacts is the only one.
+    pub fn sighting(&mut self, now: Timestamp) -> FleetSighting {
+        let fleet_size = self.fleet_size(now);
+        let own = self.settings.address;
+        let is_alone = self.settings.seeds.iter().all(|seed| *seed == own)
+            && now.since(Timestamp::ZERO) >= STABLE_AFTER;
+        let size = match (self.members.is_empty(), is_alone) {
+            (false, _) => Some(fleet_size),
+            (true, true) => Some(1),
+            (true, false) => None,
+        };
+        let members = self.members.iter().map(|(address, at)| KnownMember {
+            address: *address,
+            age: now.since(*at),
+        });
+        FleetSighting {
+            own,
+            members: members.collect(),
+            size,
+        }
+    }
+
     /// Nodes to ask for published state while the registry is away: the known members, or the seeds if there are none.
     pub fn contacts(&self) -> Vec<SocketAddr> {
         if self.members.is_empty() {
--- a/crates/core/src/prelude.rs
+++ b/crates/core/src/prelude.rs
@@ -42,6 +42,9 @@
     news::News,
     news_log::{NewsId, NewsLog},
     node_chart::{NodeAction, NodeEvent, NodeMachine, NodeState},
+    quota_fleet::FleetSighting,
+    quota_limits::QuotaLimits,
+    quota_message::{QuotaAsk, QuotaGrant, QuotaMessage},
     refusal::{Execution, Refusal, RefusalKind},
     registered_upstream::RegisteredUpstream,
     replica_chart::{ReplicaAction, ReplicaEvent, ReplicaGuard, ReplicaMachine, ReplicaState},
@@ -53,6 +56,7 @@
     timestamp::Timestamp,
     upstream_notice::{NoticeKind, UpstreamNotice},
     validation_error::{ValidationCode, ValidationError},
+    workspace_quotas::{OutgoingQuotaMessage, QuotaShareStatus, WorkspaceQuotas},
     workspace_settings::{
         CallerIdentity, Credential, Quota, WorkspaceIndex, WorkspaceSettings, Workspaces,
     },
--- /dev/null
+++ b/crates/core/src/quota_fleet.rs
@@ -0,0 +1,208 @@
+//! What a node knows of the fleet, as far as it decides about quotas.
+
+use crate::{prelude::*, rendezvous};
+use std::{
+    collections::{HashMap, VecDeque},
+    net::SocketAddr,
+};
+
+/// Time without news of a member after which it owns no workspace, in a fleet of one node.
+const BASE_SILENCE: Duration = Duration::from_secs(6);
+
+/// Added to the silence for each node: news takes longer in a larger fleet.
+const SILENCE_PER_NODE: Duration = Duration::from_millis(100);
+
+/// Half of the time for which members are remembered, because a new owner waits for two silences.
+const MAX_SILENCE: Duration = Duration::from_secs(30);
+
+/// Age of the last update up to which a node acts as an owner. After an interruption its view is outdated.
+const MAX_UPDATE_AGE: Duration = Duration::from_millis(2_500);
+
+/// This node's view of the members, from which the owners of workspaces and this node's share follow.
+///
+/// The owner of a workspace is the first of its rendezvous order that was heard of within the silence limit. A node acts
+/// as the owner only if it has heard of no earlier one for two such times: by then an earlier one that is cut off has
+/// noticed that it hears only a part of the fleet, and grants only the share of that part.
+#[derive(Debug)]
+pub struct QuotaFleet {
+    own: Option<SocketAddr>,
+    /// Start of the process, or the end of the last interruption.
+    started_at: Timestamp,
+    updated_at: Timestamp,
+    /// Time over which the share of this node grows after its start.
+    fade_in: Duration,
+    /// When each remembered member was last known to be alive.
+    members: BTreeMap<SocketAddr, Timestamp>,
+    /// Number of nodes, this one included; `None` until another one was heard of or there can be none.
+    size: Option<u32>,
+    /// Shares of the fleet that were heard within the last silence limit, oldest first.
+    heard_shares: VecDeque<(Timestamp, f64)>,
+    /// Rendezvous order of all remembered nodes, by workspace. Cleared when a node appears or is forgotten.
+    orders: HashMap<Arc<str>, Vec<SocketAddr>>,
+}
+
+/// Members of the fleet as a node knows them.
+#[derive(Clone, Debug)]
+pub struct FleetSighting {
+    /// Address of this node.
+    pub own: SocketAddr,
+    /// The other nodes that are remembered.
+    pub members: Vec<KnownMember>,
+    /// Number of nodes, this one included; `None` if it can't be told yet.
+    pub size: Option<u32>,
+}
+
+impl QuotaFleet {
+    /// A view without other members at the start of the process. The node's share grows from nothing to the whole over
+    /// `fade_in`.
+    pub fn new(now: Timestamp, fade_in: Duration) -> Self {
+        Self {
+            own: None,
+            started_at: now,
+            updated_at: now,
+            fade_in,
+            members: BTreeMap::new(),
+            size: None,
+            heard_shares: VecDeque::new(),
+            orders: HashMap::new(),
+        }
+    }
+
+    /// Updates the members. Members that all are forgotten are kept: a node that hears from nobody must not take itself
+    /// for the whole fleet.
+    pub fn update(&mut self, now: Timestamp, sighting: &FleetSighting) {
+        self.own = Some(sighting.own);
+        self.updated_at = now;
+        if !sighting.members.is_empty() {
+            let members = sighting.members.iter();
+            let members: BTreeMap<_, _> = members
+                .map(|member| (member.address, now - member.age))
+                .collect();
+            if !members.keys().eq(self.members.keys()) {
+                self.orders.clear();
+            }
+            self.members = members;
+        }
+        let remembered = self.members.len() as u32 + 1;
+        if !sighting.members.is_empty() || self.size.is_none() {
+            self.size = sighting.size.map(|size| size.max(remembered));
+        }
+        self.record_heard_share(now);
+    }
+
+    /// Starts anew after an interruption: the members heard before it say nothing about now.
+    pub fn restart(&mut self, now: Timestamp) {
+        self.started_at = now;
+        self.heard_shares.clear();
+    }
+
+    /// Node to ask for grants of a workspace; `None` before the first update.
+    pub fn owner(&mut self, now: Timestamp, workspace: &Arc<str>) -> Option<SocketAddr> {
+        let own = self.own?;
+        let silence = self.silence_limit();
+        self.update_order(own, workspace);
+        let mut order = self.orders[workspace].iter().copied();
+        order.find(|node| *node == own || self.silent_for(now, *node) < silence)
+    }
+
+    /// Whether an address is that of this node.
+    pub fn is_own(&self, node: SocketAddr) -> bool {
+        self.own == Some(node)
+    }
+
+    /// Whether this node may act as the owner of a workspace.
+    pub fn may_grant(&mut self, now: Timestamp, workspace: &Arc<str>) -> bool {
+        let Some(own) = self.own else {
+            return false;
+        };
+        let silence = self.silence_limit();
+        self.update_order(own, workspace);
+        let mut earlier = self.orders[workspace].iter().take_while(|n| **n != own);
+        earlier.all(|node| self.silent_for(now, *node) >= silence * 2)
+    }
+
+    /// Share of a quota that this node may grant as an owner: that of the fleet which it has heard for as long as the
+    /// silence limit.
+    pub fn owner_share(&self, now: Timestamp) -> f64 {
+        if self.is_outdated(now) {
+            return 0.0;
+        }
+        let shares = self.heard_shares.iter().map(|(_, share)| *share);
+        shares.fold(1.0, f64::min) * self.fade(now)
+    }
+
+    /// Requests that this node may admit in one window without a grant, if all nodes together may admit `amount`. The
+    /// part that can't be divided evenly goes to the first nodes of the workspace's order.
+    pub fn local_allowance(&mut self, now: Timestamp, workspace: &Arc<str>, amount: f64) -> u32 {
+        let (Some(own), Some(size)) = (self.own, self.size) else {
+            return 0;
+        };
+        if self.fade(now) < 1.0 {
+            return 0;
+        }
+        let each = (amount / f64::from(size)) as u32;
+        let rest = amount as u32 - each * size;
+        self.update_order(own, workspace);
+        let mut order = self.orders[workspace].iter();
+        let is_first = order.position(|node| *node == own) < Some(rest as usize);
+        each + u32::from(is_first)
+    }
+
+    /// Number of nodes, this one included; `None` if it can't be told yet.
+    pub fn size(&self) -> Option<u32> {
+        self.size
+    }
+
+    /// Whether the last update is too old to act as an owner.
+    pub fn is_outdated(&self, now: Timestamp) -> bool {
+        now.since(self.updated_at) > MAX_UPDATE_AGE
+    }
+
+    fn silence_limit(&self) -> Duration {
+        let size = self.size.unwrap_or(1);
+        (BASE_SILENCE + SILENCE_PER_NODE * size).min(MAX_SILENCE)
+    }
+
+    fn silent_for(&self, now: Timestamp, node: SocketAddr) -> Duration {
+        let heard_at = self.members.get(&node);
+        heard_at.map_or(Duration::MAX, |at| now.since(*at))
+    }
+
+    /// Share of the node's normal rights that it has so soon after its start: until it has heard from all others it may
+    /// underestimate the fleet.
+    fn fade(&self, now: Timestamp) -> f64 {
+        if self.size.is_none() {
+            return 0.0;
+        }
+        let age = now.since(self.started_at);
+        (age.as_secs_f64() / self.fade_in.as_secs_f64()).min(1.0)
+    }
+
+    fn record_heard_share(&mut self, now: Timestamp) {
+        let Some(size) = self.size else {
+            return;
+        };
+        let silence = self.silence_limit();
+        let heard = self.members.values().filter(|at| now.since(**at) < silence);
+        let share = (heard.count() + 1) as f64 / f64::from(size);
+        self.heard_shares.push_back((now, share));
+        while let Some((at, _)) = self.heard_shares.front()
+            && now.since(*at) > silence
+        {
+            self.heard_shares.pop_front();
+        }
+    }
+
+    fn update_order(&mut self, own: SocketAddr, workspace: &Arc<str>) {
+        if self.orders.contains_key(workspace) {
+            return;
+        }
+        let nodes = self.members.keys().copied().chain([own]);
+        let mut weighted: Vec<_> = nodes
+            .map(|node| (rendezvous::weight(workspace, &node.to_string()), node))
+            .collect();
+        weighted.sort_by(|a, b| b.cmp(a));
+        let order = weighted.into_iter().map(|(_, node)| node);
+        self.orders.insert(Arc::clone(workspace), order.collect());
+    }
+}
--- /dev/null
+++ b/crates/core/src/quota_owner.rs
@@ -0,0 +1,128 @@
+//! The owner's side of the quotas: grants out of one token bucket for each workspace.
+
+use crate::{
+    prelude::*, quota_bucket::QuotaBucket, quota_fleet::QuotaFleet, quota_limits::QuotaDivision,
+};
+use std::{collections::HashMap, net::SocketAddr};
+
+/// Share of the tokens at hand that one grant takes if they don't cover all that is wanted, so that one node can't take
+/// them all.
+const MAX_TOKEN_SHARE: f64 = 0.5;
+
+/// Asks that an owner takes in one second. Above this rate it asks the nodes to pause.
+const MAX_ASKS_PER_SECOND: f64 = 40.0;
+
+/// Time over which asks are counted.
+const ASK_WINDOW: Duration = Duration::from_secs(1);
+
+/// Longest pause that an owner asks for.
+const MAX_PAUSE: Duration = Duration::from_secs(15);
+
+/// Most nodes that are counted as asking; more of them lengthen the pause no further.
+const MAX_ASKERS: usize = 1_000;
+
+/// Retry time of a node that does not act as the owner, or whose share is nothing yet.
+const NO_SHARE_RETRY: Duration = Duration::from_secs(1);
+
+/// Buckets of the workspaces that this node was asked for.
+#[derive(Debug, Default)]
+pub struct QuotaOwner {
+    buckets: HashMap<Arc<str>, QuotaBucket>,
+    load: AskLoad,
+}
+
+/// Rate at which other nodes ask.
+#[derive(Debug, Default)]
+struct AskLoad {
+    window_start: Timestamp,
+    asks: u32,
+    /// Asks in the last whole window.
+    last_asks: u32,
+    /// When each node that asks was last heard to.
+    askers: HashMap<SocketAddr, Timestamp>,
+}
+
+impl QuotaOwner {
+    /// Empties all buckets, after an interruption during which another node may have been the owner.
+    pub fn restart(&mut self) {
+        self.buckets.clear();
+    }
+
+    /// Forgets the workspaces that have no quota any more.
+    pub fn retain(&mut self, has_quota: impl Fn(&Arc<str>) -> bool) {
+        self.buckets.retain(|workspace, _| has_quota(workspace));
+    }
+
+    /// Counts a message of another node, and returns the pause that it should make before the next one.
+    pub fn record_ask(&mut self, now: Timestamp, from: SocketAddr) -> Duration {
+        self.load.record(now, from);
+        self.load.pause()
+    }
+
+    /// Grants what a node asks for, as far as the quota reaches.
+    pub fn grant(
+        &mut self,
+        now: Timestamp,
+        fleet: &mut QuotaFleet,
+        division: &QuotaDivision,
+        ask: &QuotaAsk,
+    ) -> QuotaGrant {
+        let workspace = &ask.workspace;
+        let refused = |retry_after| QuotaGrant {
+            workspace: Arc::clone(workspace),
+            tokens: 0,
+            retry_after,
+        };
+        if !fleet.may_grant(now, workspace) {
+            return refused(NO_SHARE_RETRY);
+        }
+        let share = fleet.owner_share(now);
+        let (rate, burst) = (division.rate * share, division.burst * share);
+        let bucket = self
+            .buckets
+            .entry(Arc::clone(workspace))
+            .or_insert_with(|| QuotaBucket::empty(now));
+        let tokens = bucket.refill(now, rate, burst);
+        if rate <= 0.0 {
+            return refused(NO_SHARE_RETRY);
+        }
+        let available = tokens as u32;
+        let granted = if ask.wanted <= available {
+            ask.wanted
+        } else {
+            let most = (tokens * MAX_TOKEN_SHARE).ceil() as u32;
+            most.min(available)
+        };
+        bucket.take(granted);
+        QuotaGrant {
+            tokens: granted,
+            ..refused(bucket.time_to_token(rate))
+        }
+    }
+}
+
+impl AskLoad {
+    fn record(&mut self, now: Timestamp, from: SocketAddr) {
+        let age = now.since(self.window_start);
+        if age >= ASK_WINDOW {
+            self.last_asks = if age < ASK_WINDOW * 2 { self.asks } else { 0 };
+            self.asks = 0;
+            self.window_start = now;
+            self.askers
+                .retain(|_, asked_at| now.since(*asked_at) < MAX_PAUSE + ASK_WINDOW);
+        }
+        self.asks += 1;
+        if self.askers.len() < MAX_ASKERS || self.askers.contains_key(&from) {
+            self.askers.insert(from, now);
+        }
+    }
+
+    /// Time in which each of the nodes may ask once without exceeding the rate; nothing while the rate is kept.
+    fn pause(&self) -> Duration {
+        let rate = f64::from(self.asks.max(self.last_asks)) / ASK_WINDOW.as_secs_f64();
+        if rate <= MAX_ASKS_PER_SECOND / 2.0 {
+            return Duration::ZERO;
+        }
+        Duration::from_secs_f64(self.askers.len() as f64 / MAX_ASKS_PER_SECOND).min(MAX_PAUSE)
+    }
+}
--- /dev/null
+++ b/crates/core/src/quota_share.rs
@@ -0,0 +1,269 @@
+//! A node's share of the quota of one workspace: requests that it may admit without asking, and grants of the owner.
+
+use crate::{prelude::*, quota_limits::QuotaDivision, quota_message::MAX_GRANT};
+use std::collections::VecDeque;
+
+/// Time over which the demand is averaged.
+const DEMAND_TIME: Duration = Duration::from_secs(2);
+
+/// Time after which an ask without a reply counts as lost.
+pub(crate) const REPLY_TIMEOUT: Duration = Duration::from_millis(40);
+
+/// Unanswered asks in a row after which requests no longer wait for a reply.
+const MAX_UNANSWERED: u32 = 4;
+
+/// Interval of asks while no reply comes, to notice when an owner is there again.
+const RETRY_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Least time between a reply that does not cover what was wanted and the next ask.
+const MIN_ASK_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Asks of which a late reply is still accepted.
+const MAX_OPEN_ASKS: usize = 4;
+
+/// What this node may admit of one workspace's requests.
+#[derive(Debug)]
+pub(crate) struct QuotaShare {
+    /// Division of the workspace's quota.
+    pub(crate) division: QuotaDivision,
+    /// When each request was admitted without a grant, oldest first; not more than a local window ago.
+    local: VecDeque<Timestamp>,
+    /// Requests left of each grant and the time at which it ends, the next one to end first.
+    grants: VecDeque<(Timestamp, u32)>,
+    /// Requests admitted although nothing covered them, to be covered by the next grants.
+    debt: u32,
+    /// Requests per second, as of `demand_updated_at`.
+    demand: f64,
+    demand_updated_at: Timestamp,
+    /// Asks that may still be answered, oldest first.
+    open_asks: VecDeque<OpenAsk>,
+    /// Asks since the last reply.
+    unanswered: u32,
+    /// Time before which nothing is asked for.
+    next_ask_at: Timestamp,
+    /// Time before which the quota is known to be used up.
+    exhausted_until: Timestamp,
+    /// When the last reply arrived.
+    pub(crate) replied_at: Option<Timestamp>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct OpenAsk {
+    id: u32,
+    asked_at: Timestamp,
+    wanted: u32,
+}
+
+/// Decision about one request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum QuotaDecision {
+    /// It may be sent.
+    Admitted,
+    /// The owner has been asked, and its reply will decide.
+    Pending,
+    /// It is over the quota.
+    Refused {
+        /// Time after which one more request fits.
+        retry_after: Duration,
+    },
+}
+
+impl QuotaShare {
+    pub(crate) fn new(now: Timestamp, division: QuotaDivision) -> Self {
+        Self {
+            division,
+            local: VecDeque::new(),
+            grants: VecDeque::new(),
+            debt: 0,
+            demand: 0.0,
+            demand_updated_at: now,
+            open_asks: VecDeque::new(),
+            unanswered: 0,
+            next_ask_at: Timestamp::ZERO,
+            exhausted_until: Timestamp::ZERO,
+            replied_at: None,
+        }
+    }
+
+    /// Counts a request of a caller in the demand.
+    pub(crate) fn record_demand(&mut self, now: Timestamp) {
+        let time = DEMAND_TIME.as_secs_f64();
+        self.demand = self.current_demand(now) + 1.0 / time;
+        self.demand_updated_at = now;
+    }
+
+    /// Takes a request out of a grant, or out of the local allowance, for which all requests count that were admitted
+    /// within `local_window`. Returns whether one was left.
+    pub(crate) fn try_take(
+        &mut self,
+        now: Timestamp,
+        allowance: u32,
+        local_window: Duration,
+    ) -> bool {
+        self.expire(now, local_window);
+        if let Some((_, tokens)) = self.grants.front_mut() {
+            *tokens -= 1;
+            if *tokens == 0 {
+                self.grants.pop_front();
+            }
+            return true;
+        }
+        let is_left = self.local.len() < allowance as usize;
+        if is_left {
+            self.local.push_back(now);
+        }
+        is_left
+    }
+
+    /// Charges a request that is not refused whatever the quota says. The debt is bounded, so that such requests can't
+    /// use up the quota of a long time to come.
+    pub(crate) fn charge_unconditionally(&mut self) {
+        let max_debt = (self.division.rate + self.division.burst).ceil() as u32;
+        self.debt = (self.debt + 1).min(max_debt);
+    }
+
+    /// Time until one more request fits, if no reply will tell earlier.
+    pub(crate) fn refusal_time(&self, now: Timestamp, local_window: Duration) -> Option<Duration> {
+        if self.exhausted_until > now {
+            return Some(self.exhausted_until.since(now));
+        }
+        let is_answered = self.unanswered < MAX_UNANSWERED;
+        let paused = self.next_ask_at > now && self.open_asks.is_empty();
+        if is_answered && !paused {
+            return None;
+        }
+        let oldest = self.local.front();
+        let local_left = oldest.map(|at| (*at + local_window).since(now));
+        let usual = Duration::try_from_secs_f64(1.0 / self.division.rate);
+        let usual = usual.unwrap_or(local_window).min(local_window);
+        Some(local_left.map_or(usual, |left| left.min(usual)))
+    }
+
+    /// Requests to ask for now, with `waiting` ones that a reply will decide; `None` if it is not the time to ask.
+    ///
+    /// Grants are asked for ahead of the requests that are expected during the life of one, so that a request rarely
+    /// has to wait.
+    pub(crate) fn next_ask(
+        &mut self,
+        now: Timestamp,
+        waiting: u32,
+        lifetime: Duration,
+    ) -> Option<u32> {
+        self.expire_asks(now, lifetime);
+        let is_awaiting = self
+            .open_asks
+            .back()
+            .is_some_and(|ask| now.since(ask.asked_at) < REPLY_TIMEOUT);
+        if is_awaiting || now < self.next_ask_at {
+            return None;
+        }
+        let expected = self.current_demand(now) * lifetime.as_secs_f64();
+        let expected = if expected < 1.0 { 0.0 } else { expected };
+        let held: u32 = self.grants.iter().map(|(_, tokens)| tokens).sum();
+        let is_low = f64::from(held) < expected / 2.0;
+        if waiting == 0 && self.debt == 0 && !is_low {
+            return None;
+        }
+        let ahead = (expected.ceil() as u32).saturating_sub(held);
+        Some(
+            waiting
+                .saturating_add(self.debt)
+                .saturating_add(ahead)
+                .min(MAX_GRANT),
+        )
+    }
+
+    /// Records that an ask is sent.
+    pub(crate) fn record_ask(&mut self, now: Timestamp, id: u32, wanted: u32) {
+        self.unanswered = self.unanswered.saturating_add(1);
+        if self.unanswered >= MAX_UNANSWERED {
+            self.next_ask_at = now + RETRY_INTERVAL;
+        }
+        let asked_at = now;
+        self.open_asks.push_back(OpenAsk {
+            id,
+            asked_at,
+            wanted,
+        });
+        if self.open_asks.len() > MAX_OPEN_ASKS {
+            self.open_asks.pop_front();
+        }
+    }
+
+    /// Adds a grant. One that does not belong to an open ask is a copy, or too late, and is ignored.
+    pub(crate) fn receive(
+        &mut self,
+        now: Timestamp,
+        id: u32,
+        grant: &QuotaGrant,
+        lifetime: Duration,
+    ) {
+        let position = self.open_asks.iter().position(|ask| ask.id == id);
+        let Some(ask) = position.and_then(|i| self.open_asks.remove(i)) else {
+            return;
+        };
+        self.unanswered = 0;
+        self.open_asks.retain(|other| other.id > id);
+        self.replied_at = Some(now);
+        let ends_at = ask.asked_at + lifetime;
+        let wait = grant.retry_after;
+        if grant.tokens < ask.wanted && !wait.is_zero() {
+            self.exhausted_until = now + wait;
+            self.next_ask_at = now + wait.max(MIN_ASK_INTERVAL);
+        }
+        if ends_at <= now {
+            return;
+        }
+        let repaid = self.debt.min(grant.tokens);
+        self.debt -= repaid;
+        let tokens = grant.tokens - repaid;
+        if tokens > 0 {
+            let later = |(at, _): &(Timestamp, u32)| *at > ends_at;
+            let place = self.grants.iter().position(later);
+            let place = place.unwrap_or(self.grants.len());
+            self.grants.insert(place, (ends_at, tokens));
+        }
+    }
+
+    /// Ends all grants, after an interruption of unknown length.
+    pub(crate) fn end_grants(&mut self) {
+        self.grants.clear();
+        self.open_asks.clear();
+        self.unanswered = 0;
+        self.next_ask_at = Timestamp::ZERO;
+        self.exhausted_until = Timestamp::ZERO;
+    }
+
+    /// Whether it holds nothing that another division of the quota would have to respect.
+    pub(crate) fn is_idle(&self, now: Timestamp, idle_time: Duration) -> bool {
+        now.since(self.demand_updated_at) > idle_time && self.debt == 0
+    }
+
+    fn current_demand(&self, now: Timestamp) -> f64 {
+        let age = now.since(self.demand_updated_at).as_secs_f64();
+        self.demand * (-age / DEMAND_TIME.as_secs_f64()).exp()
+    }
+
+    fn expire(&mut self, now: Timestamp, local_window: Duration) {
+        while self.grants.front().is_some_and(|(end, _)| *end <= now) {
+            self.grants.pop_front();
+        }
+        while self
+            .local
+            .front()
+            .is_some_and(|at| now.since(*at) > local_window)
+        {
+            self.local.pop_front();
+        }
+    }
+
+    fn expire_asks(&mut self, now: Timestamp, lifetime: Duration) {
+        while self
+            .open_asks
+            .front()
+            .is_some_and(|ask| now.since(ask.asked_at) > lifetime)
+        {
+            self.open_asks.pop_front();
+        }
+    }
+}
--- a/crates/core/src/rendezvous.rs
+++ b/crates/core/src/rendezvous.rs
@@ -45,7 +45,7 @@
 
 /// Weight of a node for an upstream. SHA-256 gives the same value on every node and in every version of the program,
 /// which the standard hasher does not guarantee.
-fn weight(upstream: &str, node: &str) -> u64 {
+pub(crate) fn weight(upstream: &str, node: &str) -> u64 {
     let mut hasher = Sha256::new();
     hasher.update((upstream.len() as u64).to_be_bytes());
     hasher.update(upstream.as_bytes());
--- /dev/null
+++ b/crates/core/src/workspace_quotas.rs
@@ -0,0 +1,371 @@
+//! Quotas of workspaces over all nodes: what this node admits, and what it grants to others.
+
+use crate::{
+    prelude::*,
+    quota_fleet::QuotaFleet,
+    quota_message::MAX_QUOTA_ENTRIES,
+    quota_owner::QuotaOwner,
+    quota_share::{QuotaDecision, QuotaShare},
+};
+use std::{collections::HashMap, net::SocketAddr};
+
+/// Messages that a node sends in one second to ask for grants.
+const MAX_ASKS_PER_SECOND: f64 = 25.0;
+
+/// Messages that it may send at once.
+const ASK_BURST: f64 = 10.0;
+
+/// Longest time for which a request waits for the owner's reply. It covers one lost message.
+const MAX_WAIT: Duration = Duration::from_millis(90);
+
+/// Time without requests after which the share of a workspace is forgotten, in windows of the quota.
+const IDLE_WINDOWS: u32 = 4;
+
+/// Decides about requests against the quotas of their workspaces, from messages and the time alone.
+///
+/// Each workspace has an owner among the nodes, which runs its token bucket and issues grants that end by themselves.
+/// Nodes ask ahead for what they expect. Besides, each node may admit a few requests in a window without a grant; these
+/// allowances add up to a part of the tolerance that the limits give.
+#[derive(Debug)]
+pub struct WorkspaceQuotas {
+    limits: QuotaLimits,
+    fleet: QuotaFleet,
+    owner: QuotaOwner,
+    /// Quotas of the configuration in force, by workspace.
+    quotas: HashMap<Arc<str>, Quota>,
+    /// Shares of the workspaces that had requests lately.
+    shares: HashMap<Arc<str>, QuotaShare>,
+    /// Requests that wait for a reply, by workspace.
+    waiting: HashMap<Arc<str>, u32>,
+    /// Times before which owners want no asks.
+    pauses: HashMap<SocketAddr, Timestamp>,
+    next_id: u32,
+    ask_tokens: f64,
+    ask_tokens_at: Timestamp,
+    next_cleanup: Timestamp,
+}
+
+/// A message and the node that it goes to.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct OutgoingQuotaMessage {
+    /// Address of the receiving node.
+    pub to: SocketAddr,
+    /// Message to send.
+    pub message: QuotaMessage,
+}
+
+/// State of one workspace's share, for logs.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct QuotaShareStatus {
+    /// Number of nodes that the local allowance is computed for; `None` if it is not known.
+    pub fleet_size: Option<u32>,
+    /// Requests that may be admitted in a window without a grant.
+    pub local_allowance: u32,
+    /// Whether this node is the owner.
+    pub is_owner: bool,
+    /// Time since the owner's last reply; `None` if there was none.
+    pub reply_age: Option<Duration>,
+}
+
+impl WorkspaceQuotas {
+    /// Quotas at the start of the process.
+    pub fn new(now: Timestamp, limits: QuotaLimits) -> Self {
+        Self {
+            limits,
+            fleet: QuotaFleet::new(now, limits.window),
+            owner: QuotaOwner::default(),
+            quotas: HashMap::new(),
+            shares: HashMap::new(),
+            waiting: HashMap::new(),
+            pauses: HashMap::new(),
+            next_id: 0,
+            ask_tokens: ASK_BURST,
+            ask_tokens_at: now,
+            next_cleanup: now,
+        }
+    }
+
+    /// Applies the quotas of a configuration.
+    pub fn configure(&mut self, workspaces: Option<&Workspaces>) {
+        let limited = workspaces.into_iter().flat_map(Workspaces::iter);
+        let limited = limited.filter_map(|workspace| {
+            let quota = workspace.quota?;
+            Some((Arc::clone(&workspace.name), quota))
+        });
+        self.quotas = limited.collect();
+        self.apply_quotas();
+    }
+
+    /// Applies other limits.
+    pub fn set_limits(&mut self, limits: QuotaLimits) {
+        self.limits = limits;
+        self.apply_quotas();
+    }
+
+    fn apply_quotas(&mut self) {
+        let (quotas, limits) = (&self.quotas, self.limits);
+        self.owner
+            .retain(|workspace| quotas.contains_key(workspace));
+        self.shares.retain(|workspace, share| {
+            let quota = quotas.get(workspace);
+            if let Some(quota) = quota {
+                share.division = limits.divide(quota);
+            }
+            quota.is_some()
+        });
+    }
+
+    /// Updates the members of the fleet, which must be done every second.
+    pub fn update_fleet(&mut self, now: Timestamp, sighting: &FleetSighting) {
+        if self.fleet.is_outdated(now) {
+            self.handle_interruption(now);
+        }
+        self.fleet.update(now, sighting);
+    }
+
+    /// Gives up everything that may have ended, after the process was interrupted for an unknown time.
+    pub fn handle_interruption(&mut self, now: Timestamp) {
+        self.fleet.restart(now);
+        self.owner.restart();
+        for share in self.shares.values_mut() {
+            share.end_grants();
+        }
+    }
+
+    /// Decides about a new request of a workspace. `Pending` counts it as waiting until [`Self::stop_waiting`].
+    pub fn admit(&mut self, now: Timestamp, workspace: &Arc<str>) -> QuotaDecision {
+        if !self.quotas.contains_key(workspace) {
+            return QuotaDecision::Admitted;
+        }
+        self.share(now, workspace).record_demand(now);
+        if self.try_take(now, workspace) {
+            return QuotaDecision::Admitted;
+        }
+        let local_window = self.limits.local_window();
+        let share = self.share(now, workspace);
+        if let Some(retry_after) = share.refusal_time(now, local_window) {
+            return QuotaDecision::Refused { retry_after };
+        }
+        *self.waiting.entry(Arc::clone(workspace)).or_default() += 1;
+        QuotaDecision::Pending
+    }
+
+    /// Charges a request that is admitted whatever the quota says.
+    pub fn charge(&mut self, now: Timestamp, workspace: &Arc<str>) {
+        if !self.quotas.contains_key(workspace) {
+            return;
+        }
+        self.share(now, workspace).record_demand(now);
+        if !self.try_take(now, workspace) {
+            self.share(now, workspace).charge_unconditionally();
+        }
+    }
+
+    /// Decides again about a request that waits, after a message or a time-out.
+    pub fn admit_waiting(&mut self, now: Timestamp, workspace: &Arc<str>) -> QuotaDecision {
+        if !self.quotas.contains_key(workspace) || self.try_take(now, workspace) {
+            return QuotaDecision::Admitted;
+        }
+        let local_window = self.limits.local_window();
+        match self.share(now, workspace).refusal_time(now, local_window) {
+            Some(retry_after) => QuotaDecision::Refused { retry_after },
+            None => QuotaDecision::Pending,
+        }
+    }
+
+    /// Ends the wait of one request of a workspace, however it was decided.
+    pub fn stop_waiting(&mut self, workspace: &Arc<str>) {
+        if let Some(waiting) = self.waiting.get_mut(workspace) {
+            *waiting -= 1;
+            if *waiting == 0 {
+                self.waiting.remove(workspace);
+            }
+        }
+    }
+
+    /// Time for which a request that has so much time left may wait for a reply.
+    pub fn max_wait(time_left: Duration) -> Duration {
+        MAX_WAIT.min(time_left / 4)
+    }
+
+    /// Time after which the caller of a request should retry whose wait for a reply has ended.
+    pub fn retry_after_silence(&self, workspace: &Arc<str>) -> Duration {
+        let rate = self.quotas.get(workspace).map_or(1.0, |quota| quota.rate);
+        let usual = Duration::try_from_secs_f64(1.0 / rate);
+        usual.map_or(self.limits.window, |usual| usual.min(self.limits.window))
+    }
+
+    /// Sends the asks that are due for this workspace.
+    pub fn ask(
+        &mut self,
+        now: Timestamp,
+        workspace: &Arc<str>,
+        outgoing: &mut Vec<OutgoingQuotaMessage>,
+    ) {
+        let Some(owner) = self.fleet.owner(now, workspace) else {
+            return;
+        };
+        let is_paused = self.pauses.get(&owner).is_some_and(|until| *until > now);
+        let is_own = self.fleet.is_own(owner);
+        if !is_own && (is_paused || !self.has_ask_token(now)) {
+            return;
+        }
+        let id = self.next_id;
+        let asks = if is_own {
+            self.due_ask(now, id, workspace).into_iter().collect()
+        } else {
+            self.due_asks(now, id, owner, workspace)
+        };
+        if asks.is_empty() {
+            return;
+        }
+        self.next_id = id.wrapping_add(1);
+        if is_own {
+            let grants = self.grant_all(now, &asks);
+            return self.apply_grants(now, id, &grants);
+        }
+        self.ask_tokens -= 1.0;
+        let message = QuotaMessage::Ask { id, asks };
+        outgoing.push(OutgoingQuotaMessage { to: owner, message });
+    }
+
+    /// Handles a message of another node. Returns whether it may have decided waiting requests.
+    pub fn receive(
+        &mut self,
+        now: Timestamp,
+        from: SocketAddr,
+        message: &QuotaMessage,
+        outgoing: &mut Vec<OutgoingQuotaMessage>,
+    ) -> bool {
+        match message {
+            QuotaMessage::Ask { id, asks } => {
+                let pause = self.owner.record_ask(now, from);
+                let grants = self.grant_all(now, asks);
+                let message = QuotaMessage::Reply {
+                    id: *id,
+                    pause,
+                    grants,
+                };
+                outgoing.push(OutgoingQuotaMessage { to: from, message });
+                false
+            }
+            QuotaMessage::Reply { id, pause, grants } => {
+                if !pause.is_zero() {
+                    self.pauses.insert(from, now + *pause);
+                }
+                self.apply_grants(now, *id, grants);
+                true
+            }
+        }
+    }
+
+    /// State of a workspace's share, for logs.
+    pub fn share_status(&mut self, now: Timestamp, workspace: &Arc<str>) -> QuotaShareStatus {
+        let share = self.shares.get(workspace);
+        let reply_age = share.and_then(|share| share.replied_at.map(|at| now.since(at)));
+        let uncoordinated = share.map_or(0.0, |share| share.division.uncoordinated);
+        QuotaShareStatus {
+            fleet_size: self.fleet.size(),
+            local_allowance: self.fleet.local_allowance(now, workspace, uncoordinated),
+            is_owner: self.fleet.may_grant(now, workspace),
+            reply_age,
+        }
+    }
+
+    fn try_take(&mut self, now: Timestamp, workspace: &Arc<str>) -> bool {
+        let local_window = self.limits.local_window();
+        let amount = self.share(now, workspace).division.uncoordinated;
+        let allowance = self.fleet.local_allowance(now, workspace, amount);
+        self.share(now, workspace)
+            .try_take(now, allowance, local_window)
+    }
+
+    /// Share of a workspace that has a quota, with nothing in it if it is new.
+    fn share(&mut self, now: Timestamp, workspace: &Arc<str>) -> &mut QuotaShare {
+        self.forget_idle_shares(now);
+        let division = self.limits.divide(&self.quotas[workspace]);
+        self.shares
+            .entry(Arc::clone(workspace))
+            .or_insert_with(|| QuotaShare::new(now, division))
+    }
+
+    fn forget_idle_shares(&mut self, now: Timestamp) {
+        if now < self.next_cleanup {
+            return;
+        }
+        let idle_time = self.limits.window * IDLE_WINDOWS;
+        self.next_cleanup = now + idle_time;
+        self.shares
+            .retain(|_, share| !share.is_idle(now, idle_time));
+        self.pauses.retain(|_, until| *until > now);
+    }
+
+    /// Asks that are due for all workspaces of one owner, `first` before the others.
+    fn due_asks(
+        &mut self,
+        now: Timestamp,
+        id: u32,
+        owner: SocketAddr,
+        first: &Arc<str>,
+    ) -> Vec<QuotaAsk> {
+        let mut asks: Vec<_> = self.due_ask(now, id, first).into_iter().collect();
+        if asks.is_empty() {
+            return asks;
+        }
+        let others: Vec<_> = self
+            .shares
+            .keys()
+            .filter(|w| *w != first)
+            .cloned()
+            .collect();
+        for workspace in others {
+            if asks.len() == MAX_QUOTA_ENTRIES {
+                break;
+            }
+            if self.fleet.owner(now, &workspace) == Some(owner) {
+                asks.extend(self.due_ask(now, id, &workspace));
+            }
+        }
+        asks
+    }
+
+    fn due_ask(&mut self, now: Timestamp, id: u32, workspace: &Arc<str>) -> Option<QuotaAsk> {
+        let waiting = self.waiting.get(workspace).copied().unwrap_or_default();
+        let lifetime = self.limits.grant_lifetime();
+        let share = self.shares.get_mut(workspace)?;
+        let wanted = share.next_ask(now, waiting, lifetime)?;
+        share.record_ask(now, id, wanted);
+        Some(QuotaAsk {
+            workspace: Arc::clone(workspace),
+            wanted,
+        })
+    }
+
+    /// Grants for asks, without those for workspaces that have no quota here.
+    fn grant_all(&mut self, now: Timestamp, asks: &[QuotaAsk]) -> Vec<QuotaGrant> {
+        let mut grants = Vec::with_capacity(asks.len());
+        for ask in asks {
+            if let Some(quota) = self.quotas.get(&ask.workspace) {
+                let division = self.limits.divide(quota);
+                grants.push(self.owner.grant(now, &mut self.fleet, &division, ask));
+            }
+        }
+        grants
+    }
+
+    fn apply_grants(&mut self, now: Timestamp, id: u32, grants: &[QuotaGrant]) {
+        let lifetime = self.limits.grant_lifetime();
+        for grant in grants {
+            if let Some(share) = self.shares.get_mut(&grant.workspace) {
+                share.receive(now, id, grant, lifetime);
+            }
+        }
+    }
+
+    fn has_ask_token(&mut self, now: Timestamp) -> bool {
+        let added = now.since(self.ask_tokens_at).as_secs_f64() * MAX_ASKS_PER_SECOND;
+        self.ask_tokens = (self.ask_tokens + added).min(ASK_BURST);
+        self.ask_tokens_at = now;
+        self.ask_tokens >= 1.0
+    }
+}
--- /dev/null
+++ b/crates/core/tests/quotas/main.rs
@@ -0,0 +1,6 @@
+//! Quotas of workspaces over a simulated fleet.
+
+mod bounds;
+mod quota_sim;
+mod service;
+mod traffic;
