--- a/crates/core/src/forward_admission.rs
+++ b/crates/core/src/forward_admission.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     forward_flow::{Flow, ShardAttempts, ShardMerge},
+    forward_quota::QuotaCharge,
     prelude::*,
     record_merge::RecordMerge,
 };
@@ -23,11 +24,13 @@
 const MAX_URGENT_RANK: u32 = 1;
 
 impl Forwarder {
-    pub(crate) fn handle_request(
+    /// Admits or refuses a request. One whose quota is not known yet waits, and is admitted again once it is.
+    pub(crate) fn admit_request(
         &mut self,
         now: Timestamp,
         caller: CallerKey,
         request: Arc<ForwardRequest>,
+        charge: QuotaCharge,
         commands: &mut Vec<ForwardCommand>,
     ) {
         let refuse = |refusal| ForwardCommand::Answer {
@@ -84,6 +87,13 @@
             let retry_after = route.objective.mul_f64(RETRY_AFTER_OBJECTIVE_SHARE);
             return commands.push(refuse(ForwardRefusal::Unavailable { retry_after }));
         }
+        // After the other refusals, so that a request which does not run is not charged.
+        let identity = caller_id.identity;
+        if charge == QuotaCharge::Due
+            && !self.charge_quota(now, caller, &request, (&identity, route), commands)
+        {
+            return;
+        }
         let merge = match &route.target {
             Target::Shards(target) => Some(ShardMerge {
                 records: RecordMerge::new(target.limit),
@@ -117,7 +127,7 @@
             timer: None,
             table: Arc::clone(&table),
             route: index,
-            identity: caller_id.identity,
+            identity,
             request,
         });
         self.callers.insert(caller, flow);
--- a/crates/core/src/forward_command.rs
+++ b/crates/core/src/forward_command.rs
@@ -50,6 +50,8 @@
     AnnounceQuarantine(Digest),
     /// Tell the other nodes what an upstream says of itself.
     AnnounceNotice(UpstreamNotice),
+    /// Send a message about quotas to another node. It may be lost.
+    SendQuotaMessage(OutgoingQuotaMessage),
     /// Log and count this decision.
     Record(ForwardTelemetry),
 }
@@ -99,6 +101,24 @@
         /// Version of the configuration that it was checked against.
         version: u64,
     },
+    /// A request was refused because its workspace has used up its quota.
+    RefusedOverQuota {
+        /// Id of the caller's request.
+        request: Arc<str>,
+        /// Workspace of the caller.
+        workspace: Arc<str>,
+        /// Time after which one more request fits.
+        retry_after: Duration,
+        /// This node's share of the quota.
+        share: QuotaShareStatus,
+    },
+    /// A request of a workspace was admitted by its quota, or has none that applies.
+    WithinQuota {
+        /// Workspace of the caller.
+        workspace: Arc<str>,
+        /// `admitted`, or `admitted_after_wait` if the owner of the quota was asked first.
+        decision: &'static str,
+    },
     /// Requests with this digest crash upstreams and are refused for a while.
     RequestQuarantined {
         /// Digest of the requests.
--- a/crates/core/src/forward_event.rs
+++ b/crates/core/src/forward_event.rs
@@ -1,7 +1,7 @@
 //! Events that the node reports to the forwarder.
 
 use crate::prelude::*;
-use std::collections::BTreeSet;
+use std::{collections::BTreeSet, net::SocketAddr};
 
 /// Input of [`Forwarder::handle`].
 #[derive(Clone, Debug)]
@@ -18,6 +18,17 @@
     LimitsChanged(FleetLimits),
     /// Number of nodes that share the limits of upstreams, including this one.
     FleetSize(u32),
+    /// The members of the fleet that this node remembers; sent every second.
+    FleetSighted(FleetSighting),
+    /// The process was interrupted for a time that its clock does not show, such as a suspension of the VM.
+    Interrupted,
+    /// Another node sent a message about quotas.
+    QuotaMessageReceived {
+        /// Address of the sender.
+        from: SocketAddr,
+        /// Its message.
+        message: QuotaMessage,
+    },
     /// Another node quarantined a request that crashes upstreams.
     QuarantinedElsewhere {
         /// Digest of the request.
--- /dev/null
+++ b/crates/core/src/forward_quota.rs
@@ -0,0 +1,256 @@
+//! Quotas of workspaces in the admission of requests, and the requests that wait for the owner of a quota.
+
+use crate::{prelude::*, quota_share::QuotaDecision};
+use std::net::SocketAddr;
+
+/// Interval at which a request that waits is decided again, so that a lost message is repeated within its wait.
+const RETRY_INTERVAL: Duration = Duration::from_millis(20);
+
+/// A request that waits until the owner of its workspace's quota has replied.
+#[derive(Debug)]
+pub(crate) struct ParkedRequest {
+    caller: CallerKey,
+    request: Arc<ForwardRequest>,
+    workspace: Arc<str>,
+    arrived_at: Timestamp,
+    /// When it is refused if no reply has come.
+    wait_until: Timestamp,
+}
+
+/// Whether a request still has to be charged to the quota of its workspace.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum QuotaCharge {
+    Due,
+    Paid,
+}
+
+impl Forwarder {
+    /// Applies limits on all nodes together that the settings have changed.
+    pub(crate) fn change_limits(&mut self, now: Timestamp, limits: FleetLimits) {
+        self.settings.limits = limits;
+        match (&mut self.quotas, limits.quotas) {
+            (Some(quotas), Some(limits)) => quotas.set_limits(limits),
+            (quotas, limits) => {
+                *quotas = limits.map(|limits| WorkspaceQuotas::new(now, limits));
+                self.configure_quotas();
+            }
+        }
+    }
+
+    /// Puts the quotas of the configuration in force.
+    pub(crate) fn configure_quotas(&mut self) {
+        let workspaces = self.table.as_ref().and_then(|t| t.workspaces.as_ref());
+        if let Some(quotas) = &mut self.quotas {
+            quotas.configure(workspaces);
+        }
+    }
+
+    /// Updates the members of the fleet for the quotas.
+    pub(crate) fn update_quota_fleet(&mut self, now: Timestamp, sighting: &FleetSighting) {
+        if let Some(quotas) = &mut self.quotas {
+            quotas.update_fleet(now, sighting);
+        }
+    }
+
+    /// Gives up grants and ownerships, which may have ended while the process was interrupted.
+    pub(crate) fn handle_interruption(&mut self, now: Timestamp) {
+        if let Some(quotas) = &mut self.quotas {
+            quotas.handle_interruption(now);
+        }
+    }
+
+    /// Handles a message of another node about quotas.
+    pub(crate) fn handle_quota_message(
+        &mut self,
+        now: Timestamp,
+        from: SocketAddr,
+        message: &QuotaMessage,
+        commands: &mut Vec<ForwardCommand>,
+    ) {
+        let Some(quotas) = &mut self.quotas else {
+            return;
+        };
+        let mut outgoing = Vec::new();
+        let decides_waiting = quotas.receive(now, from, message, &mut outgoing);
+        push_messages(outgoing, commands);
+        if decides_waiting {
+            self.decide_parked(now, commands);
+        }
+    }
+
+    /// Charges a request to the quota of its workspace. Returns whether it can be sent now; otherwise it has been
+    /// refused or waits.
+    ///
+    /// On a public route a request is charged but never refused.
+    pub(crate) fn charge_quota(
+        &mut self,
+        now: Timestamp,
+        caller: CallerKey,
+        request: &Arc<ForwardRequest>,
+        (identity, route): (&CallerIdentity, &Route),
+        commands: &mut Vec<ForwardCommand>,
+    ) -> bool {
+        let (Some(quotas), CallerIdentity::Workspace(workspace)) = (&mut self.quotas, identity)
+        else {
+            return true;
+        };
+        let decision = if route.public {
+            quotas.charge(now, workspace);
+            QuotaDecision::Admitted
+        } else {
+            quotas.admit(now, workspace)
+        };
+        match decision {
+            QuotaDecision::Admitted => record_admission(workspace, "admitted", commands),
+            QuotaDecision::Refused { retry_after } => {
+                self.refuse_over_quota(now, caller, request, workspace, retry_after, commands);
+            }
+            QuotaDecision::Pending => self.parked.push(ParkedRequest {
+                caller,
+                request: Arc::clone(request),
+                workspace: Arc::clone(workspace),
+                arrived_at: now,
+                wait_until: now + WorkspaceQuotas::max_wait(request.time_left),
+            }),
+        }
+        self.ask_for_quota(now, workspace, commands);
+        if decision == QuotaDecision::Pending {
+            self.parked_retry_at = now + RETRY_INTERVAL;
+            self.decide_parked(now, commands);
+        }
+        decision == QuotaDecision::Admitted
+    }
+
+    /// Time at which the requests that wait are decided again.
+    pub(crate) fn next_parked_retry(&self) -> Option<Timestamp> {
+        let first = self.parked.iter().map(|parked| parked.wait_until).min()?;
+        Some(first.min(self.parked_retry_at))
+    }
+
+    /// Repeats lost messages and ends the waits that are over.
+    pub(crate) fn retry_parked(&mut self, now: Timestamp, commands: &mut Vec<ForwardCommand>) {
+        if self.next_parked_retry().is_none_or(|at| at > now) {
+            return;
+        }
+        self.parked_retry_at = now + RETRY_INTERVAL;
+        let mut workspaces: Vec<_> = self.parked.iter().map(|p| &p.workspace).cloned().collect();
+        workspaces.sort();
+        workspaces.dedup();
+        for workspace in workspaces {
+            self.ask_for_quota(now, &workspace, commands);
+        }
+        self.decide_parked(now, commands);
+    }
+
+    /// Forgets the waiting request of a caller that has gone.
+    pub(crate) fn remove_parked(&mut self, caller: CallerKey) {
+        let Some(position) = self.parked.iter().position(|p| p.caller == caller) else {
+            return;
+        };
+        let parked = self.parked.remove(position);
+        if let Some(quotas) = &mut self.quotas {
+            quotas.stop_waiting(&parked.workspace);
+        }
+    }
+
+    fn ask_for_quota(
+        &mut self,
+        now: Timestamp,
+        workspace: &Arc<str>,
+        commands: &mut Vec<ForwardCommand>,
+    ) {
+        let mut outgoing = Vec::new();
+        if let Some(quotas) = &mut self.quotas {
+            quotas.ask(now, workspace, &mut outgoing);
+        }
+        push_messages(outgoing, commands);
+    }
+
+    /// Decides about the requests that wait, in the order of their arrival.
+    fn decide_parked(&mut self, now: Timestamp, commands: &mut Vec<ForwardCommand>) {
+        for parked in std::mem::take(&mut self.parked) {
+            let decision = match &mut self.quotas {
+                Some(quotas) => quotas.admit_waiting(now, &parked.workspace),
+                None => QuotaDecision::Admitted,
+            };
+            if decision == QuotaDecision::Pending && now < parked.wait_until {
+                self.parked.push(parked);
+            } else {
+                self.end_wait(now, &parked, decision, commands);
+            }
+        }
+    }
+
+    fn end_wait(
+        &mut self,
+        now: Timestamp,
+        parked: &ParkedRequest,
+        decision: QuotaDecision,
+        commands: &mut Vec<ForwardCommand>,
+    ) {
+        let (caller, workspace) = (parked.caller, &parked.workspace);
+        let mut silence_time = Duration::ZERO;
+        if let Some(quotas) = &mut self.quotas {
+            quotas.stop_waiting(workspace);
+            silence_time = quotas.retry_after_silence(workspace);
+        }
+        let retry_after = match decision {
+            QuotaDecision::Admitted => {
+                record_admission(workspace, "admitted_after_wait", commands);
+                let request = parked.request_at(now);
+                return self.admit_request(now, caller, request, QuotaCharge::Paid, commands);
+            }
+            QuotaDecision::Pending => silence_time,
+            QuotaDecision::Refused { retry_after } => retry_after,
+        };
+        let request = &parked.request;
+        self.refuse_over_quota(now, caller, request, workspace, retry_after, commands);
+    }
+
+    fn refuse_over_quota(
+        &mut self,
+        now: Timestamp,
+        caller: CallerKey,
+        request: &ForwardRequest,
+        workspace: &Arc<str>,
+        retry_after: Duration,
+        commands: &mut Vec<ForwardCommand>,
+    ) {
+        let share = self.quotas.as_mut();
+        let share = share.map(|quotas| quotas.share_status(now, workspace));
+        commands.push(ForwardCommand::Record(ForwardTelemetry::RefusedOverQuota {
+            request: Arc::clone(&request.id),
+            workspace: Arc::clone(workspace),
+            retry_after,
+            share: share.unwrap_or_default(),
+        }));
+        commands.push(ForwardCommand::Answer {
+            caller,
+            answer: ForwardAnswer::Refused(ForwardRefusal::OverQuota { retry_after }),
+        });
+    }
+}
+
+impl ParkedRequest {
+    /// The request, with the time that its caller still waits now.
+    fn request_at(&self, now: Timestamp) -> Arc<ForwardRequest> {
+        let mut request = ForwardRequest::clone(&self.request);
+        request.time_left = request.time_left.saturating_sub(now.since(self.arrived_at));
+        Arc::new(request)
+    }
+}
+
+fn push_messages(messages: Vec<OutgoingQuotaMessage>, commands: &mut Vec<ForwardCommand>) {
+    commands.extend(messages.into_iter().map(ForwardCommand::SendQuotaMessage));
+}
+
+fn record_admission(
+    workspace: &Arc<str>,
+    decision: &'static str,
+    commands: &mut Vec<ForwardCommand>,
+) {
+    commands.push(ForwardCommand::Record(ForwardTelemetry::WithinQuota {
+        workspace: Arc::clone(workspace),
+        decision,
+    }));
+}
--- a/crates/core/src/forwarder.rs
+++ b/crates/core/src/forwarder.rs
@@ -4,6 +4,7 @@
     extra_load_budget::{ExtraLoadBudget, ExtraLoadLimits},
     forward_chart::{FlowEvent, FlowMachine},
     forward_flow::Flow,
+    forward_quota::{ParkedRequest, QuotaCharge},
     prelude::*,
     replica::Replica,
     reply_times::ReplyTimes,
@@ -62,6 +63,8 @@
     pub cold_excess: f64,
     /// Requests beyond `cold_excess` that a cold upstream accepts within one second.
     pub cold_slack: f64,
+    /// Limits of the quotas of workspaces; `None` if quotas are not enforced.
+    pub quotas: Option<QuotaLimits>,
 }
 
 impl ForwarderSettings {
@@ -96,6 +99,12 @@
     pub(crate) longest_wait: HashMap<Arc<str>, Duration>,
     /// Credit of each service of a split, by route; the service with the most credit gets the next request.
     pub(crate) split_credit: HashMap<Arc<str>, Vec<f64>>,
+    /// Quotas of workspaces; `None` if they are not enforced.
+    pub(crate) quotas: Option<WorkspaceQuotas>,
+    /// Requests that wait for a reply about their quota, in the order of their arrival.
+    pub(crate) parked: Vec<ParkedRequest>,
+    /// When the requests that wait are decided again.
+    pub(crate) parked_retry_at: Timestamp,
     pub(crate) random: fastrand::Rng,
     pub(crate) flow_chart: Chart<FlowMachine>,
     pub(crate) replica_chart: Chart<ReplicaMachine>,
@@ -129,6 +138,8 @@
     /// If an embedded state chart is invalid.
     pub fn new(settings: ForwarderSettings) -> Result<Self, ChartError> {
         let random = fastrand::Rng::with_seed(settings.seed);
+        let quotas = settings.limits.quotas;
+        let quotas = quotas.map(|limits| WorkspaceQuotas::new(Timestamp::ZERO, limits));
         Ok(Self {
             fleet_size: settings.initial_fleet_size.max(1),
             settings,
@@ -147,6 +158,9 @@
             reply_times: HashMap::new(),
             longest_wait: HashMap::new(),
             split_credit: HashMap::new(),
+            quotas,
+            parked: Vec::new(),
+            parked_retry_at: Timestamp::ZERO,
             random,
             flow_chart: Chart::load()?,
             replica_chart: Chart::load()?,
@@ -167,8 +181,13 @@
                 self.deregister(now, &instance, commands);
             }
             ForwardEvent::ZonesEvacuated(zones) => self.evacuated_zones = zones,
-            ForwardEvent::LimitsChanged(limits) => self.settings.limits = limits,
+            ForwardEvent::LimitsChanged(limits) => self.change_limits(now, limits),
             ForwardEvent::FleetSize(size) => self.fleet_size = size.max(1),
+            ForwardEvent::FleetSighted(sighting) => self.update_quota_fleet(now, &sighting),
+            ForwardEvent::Interrupted => self.handle_interruption(now),
+            ForwardEvent::QuotaMessageReceived { from, message } => {
+                self.handle_quota_message(now, from, &message, commands);
+            }
             ForwardEvent::QuarantinedElsewhere { digest, age } => {
                 if self.quarantine.quarantine_from_peer(now, digest, age) {
                     commands.push(ForwardCommand::Record(
@@ -183,9 +202,10 @@
                 self.apply_peer_notice(now, notice, commands);
             }
             ForwardEvent::RequestArrived { caller, request } => {
-                self.handle_request(now, caller, request, commands);
+                self.admit_request(now, caller, request, QuotaCharge::Due, commands);
             }
             ForwardEvent::CallerGone(caller) => {
+                self.remove_parked(caller);
                 if let Some(&flow) = self.callers.get(&caller) {
                     self.advance_flow(now, flow, FlowEvent::CallerGone, commands);
                 }
@@ -197,12 +217,13 @@
 
     /// Time at which [`ForwardEvent::Wakeup`] is due.
     pub fn next_wakeup(&self) -> Option<Timestamp> {
-        self.timers.next_due()
+        let timers = self.timers.next_due();
+        timers.into_iter().chain(self.next_parked_retry()).min()
     }
 
     /// Number of requests that have not been answered yet.
     pub fn running_requests(&self) -> usize {
-        self.flows.len()
+        self.flows.len() + self.parked.len()
     }
 
     /// Whether requests can be served: a configuration is in force and an upstream is registered.
@@ -247,6 +268,7 @@
             ForwardTelemetry::ConfigurationApplied { version, routes },
         ));
         self.table = Some(table);
+        self.configure_quotas();
     }
 
     /// Key of a service, which is added without replicas if it is not known yet.
--- a/crates/core/src/quota_bucket.rs
+++ b/crates/core/src/quota_bucket.rs
@@ -15,11 +15,11 @@
 }
 
 impl QuotaBucket {
-    /// An empty bucket: another owner may have granted its tokens a moment ago.
-    pub fn empty(now: Timestamp) -> Self {
+    /// A bucket that was empty at this time, because another process may have granted its tokens a moment before.
+    pub fn empty(at: Timestamp) -> Self {
         Self {
             tokens: 0.0,
-            updated_at: now,
+            updated_at: at,
         }
     }
 
--- a/crates/core/src/quota_fleet.rs
+++ b/crates/core/src/quota_fleet.rs
@@ -6,23 +6,25 @@
     net::SocketAddr,
 };
 
-/// Time without news of a member after which it owns no workspace, in a fleet of one node.
-const BASE_SILENCE: Duration = Duration::from_secs(6);
+/// Time without news of a member after which it does not count as heard, in a fleet of one node.
+const BASE_SILENCE: Duration = Duration::from_secs(5);
 
 /// Added to the silence for each node: news takes longer in a larger fleet.
-const SILENCE_PER_NODE: Duration = Duration::from_millis(100);
+const SILENCE_PER_NODE: Duration = Duration::from_millis(200);
 
-/// Half of the time for which members are remembered, because a new owner waits for two silences.
+/// Half of the time for which members are remembered.
 const MAX_SILENCE: Duration = Duration::from_secs(30);
 
+/// Silence limits after which the next node takes over the workspaces of one that is silent.
+const OWNER_SILENCES: u32 = 2;
+
 /// Age of the last update up to which a node acts as an owner. After an interruption its view is outdated.
 const MAX_UPDATE_AGE: Duration = Duration::from_millis(2_500);
 
 /// This node's view of the members, from which the owners of workspaces and this node's share follow.
 ///
-/// The owner of a workspace is the first of its rendezvous order that was heard of within the silence limit. A node acts
-/// as the owner only if it has heard of no earlier one for two such times: by then an earlier one that is cut off has
-/// noticed that it hears only a part of the fleet, and grants only the share of that part.
+/// The owner of a workspace is the first of its rendezvous order that was heard of within two silence limits. By then an
+/// earlier one that is cut off has noticed that it hears only a part of the fleet, and grants only the share of that part.
 #[derive(Debug)]
 pub struct QuotaFleet {
     own: Option<SocketAddr>,
@@ -74,10 +76,12 @@
         self.own = Some(sighting.own);
         self.updated_at = now;
         if !sighting.members.is_empty() {
-            let members = sighting.members.iter();
-            let members: BTreeMap<_, _> = members
-                .map(|member| (member.address, now - member.age))
-                .collect();
+            let members = sighting.members.iter().map(|member| {
+                let contact = self.members.get(&member.address);
+                let heard_at = (now - member.age).max(contact.copied().unwrap_or_default());
+                (member.address, heard_at)
+            });
+            let members: BTreeMap<_, _> = members.collect();
             if !members.keys().eq(self.members.keys()) {
                 self.orders.clear();
             }
@@ -90,19 +94,31 @@
         self.record_heard_share(now);
     }
 
+    /// Notes a message of a member.
+    pub fn record_contact(&mut self, now: Timestamp, from: SocketAddr) {
+        if let Some(heard_at) = self.members.get_mut(&from) {
+            *heard_at = now;
+        }
+    }
+
     /// Starts anew after an interruption: the members heard before it say nothing about now.
     pub fn restart(&mut self, now: Timestamp) {
         self.started_at = now;
         self.heard_shares.clear();
     }
 
+    /// Start of the process, or the end of the last interruption.
+    pub fn started_at(&self) -> Timestamp {
+        self.started_at
+    }
+
     /// Node to ask for grants of a workspace; `None` before the first update.
     pub fn owner(&mut self, now: Timestamp, workspace: &Arc<str>) -> Option<SocketAddr> {
         let own = self.own?;
         let silence = self.silence_limit();
         self.update_order(own, workspace);
         let mut order = self.orders[workspace].iter().copied();
-        order.find(|node| *node == own || self.silent_for(now, *node) < silence)
+        order.find(|node| *node == own || self.silent_for(now, *node) < silence * OWNER_SILENCES)
     }
 
     /// Whether an address is that of this node.
@@ -118,7 +134,7 @@
         let silence = self.silence_limit();
         self.update_order(own, workspace);
         let mut earlier = self.orders[workspace].iter().take_while(|n| **n != own);
-        earlier.all(|node| self.silent_for(now, *node) >= silence * 2)
+        earlier.all(|node| self.silent_for(now, *node) >= silence * OWNER_SILENCES)
     }
 
     /// Share of a quota that this node may grant as an owner: that of the fleet which it has heard for as long as the
--- a/crates/core/src/quota_owner.rs
+++ b/crates/core/src/quota_owner.rs
@@ -9,11 +9,18 @@
 /// them all.
 const MAX_TOKEN_SHARE: f64 = 0.5;
 
-/// Asks that an owner takes in one second. Above this rate it asks the nodes to pause.
-const MAX_ASKS_PER_SECOND: f64 = 40.0;
+/// Asks that an owner takes in one second.
+const MAX_ASKS_PER_SECOND: f64 = 32.0;
+
+/// Share of [`MAX_ASKS_PER_SECOND`] from which on the owner asks the nodes to pause.
+const PAUSE_THRESHOLD: f64 = 0.9;
 
 /// Time over which asks are counted.
-const ASK_WINDOW: Duration = Duration::from_secs(1);
+const ASK_WINDOW: Duration = Duration::from_secs(4);
+
+/// Time for which nodes are asked to pause at least. Nodes ask for what they need in a pause only once they know of it, so
+/// that pauses which come and go would leave them short.
+const PAUSING_TIME: Duration = Duration::from_secs(20);
 
 /// Longest pause that an owner asks for.
 const MAX_PAUSE: Duration = Duration::from_secs(15);
@@ -29,6 +36,8 @@
 pub struct QuotaOwner {
     buckets: HashMap<Arc<str>, QuotaBucket>,
     load: AskLoad,
+    /// Time until which grants that last longer than usual may still count in a window.
+    long_until: Timestamp,
 }
 
 /// Rate at which other nodes ask.
@@ -38,7 +47,9 @@
     asks: u32,
     /// Asks in the last whole window.
     last_asks: u32,
-    /// When each node that asks was last heard to.
+    /// Time until which nodes are asked to pause.
+    pausing_until: Timestamp,
+    /// When each node last asked.
     askers: HashMap<SocketAddr, Timestamp>,
 }
 
@@ -54,9 +65,18 @@
     }
 
     /// Counts a message of another node, and returns the pause that it should make before the next one.
-    pub fn record_ask(&mut self, now: Timestamp, from: SocketAddr) -> Duration {
+    pub fn record_ask(
+        &mut self,
+        now: Timestamp,
+        from: SocketAddr,
+        limits: &QuotaLimits,
+    ) -> Duration {
         self.load.record(now, from);
-        self.load.pause()
+        let pause = self.load.pause(now);
+        if !pause.is_zero() {
+            self.long_until = now + limits.max_grant_lifetime() + limits.local_window();
+        }
+        pause
     }
 
     /// Grants what a node asks for, as far as the quota reaches.
@@ -77,11 +97,16 @@
             return refused(NO_SHARE_RETRY);
         }
         let share = fleet.owner_share(now);
-        let (rate, burst) = (division.rate * share, division.burst * share);
+        let whole_rate = if now < self.long_until {
+            division.long_rate
+        } else {
+            division.rate
+        };
+        let (rate, burst) = (whole_rate * share, division.burst * share);
         let bucket = self
             .buckets
             .entry(Arc::clone(workspace))
-            .or_insert_with(|| QuotaBucket::empty(now));
+            .or_insert_with(|| QuotaBucket::empty(fleet.started_at()));
         let tokens = bucket.refill(now, rate, burst);
         if rate <= 0.0 {
             return refused(NO_SHARE_RETRY);
@@ -118,9 +143,12 @@
     }
 
     /// Time in which each of the nodes may ask once without exceeding the rate; nothing while the rate is kept.
-    fn pause(&self) -> Duration {
+    fn pause(&mut self, now: Timestamp) -> Duration {
         let rate = f64::from(self.asks.max(self.last_asks)) / ASK_WINDOW.as_secs_f64();
-        if rate <= MAX_ASKS_PER_SECOND / 2.0 {
+        if rate > MAX_ASKS_PER_SECOND * PAUSE_THRESHOLD {
+            self.pausing_until = now + PAUSING_TIME;
+        }
+        if now >= self.pausing_until {
             return Duration::ZERO;
         }
         Duration::from_secs_f64(self.askers.len() as f64 / MAX_ASKS_PER_SECOND).min(MAX_PAUSE)
--- a/crates/core/src/quota_share.rs
+++ b/crates/core/src/quota_share.rs
@@ -6,14 +6,14 @@
 /// Time over which the demand is averaged.
 const DEMAND_TIME: Duration = Duration::from_secs(2);
 
-/// Time after which an ask without a reply counts as lost.
-pub(crate) const REPLY_TIMEOUT: Duration = Duration::from_millis(40);
+/// Time after which an ask without a reply is repeated.
+const REPLY_TIMEOUT: Duration = Duration::from_millis(40);
 
-/// Unanswered asks in a row after which requests no longer wait for a reply.
-const MAX_UNANSWERED: u32 = 4;
+/// Time after which no reply to an ask is expected any more.
+const MAX_REPLY_TIME: Duration = Duration::from_millis(100);
 
-/// Interval of asks while no reply comes, to notice when an owner is there again.
-const RETRY_INTERVAL: Duration = Duration::from_millis(250);
+/// Requests expected during the life of a grant below which none is asked for ahead, because it would mostly be wasted.
+const MIN_EXPECTED: f64 = 1.0;
 
 /// Least time between a reply that does not cover what was wanted and the next ask.
 const MIN_ASK_INTERVAL: Duration = Duration::from_millis(50);
@@ -37,8 +37,6 @@
     demand_updated_at: Timestamp,
     /// Asks that may still be answered, oldest first.
     open_asks: VecDeque<OpenAsk>,
-    /// Asks since the last reply.
-    unanswered: u32,
     /// Time before which nothing is asked for.
     next_ask_at: Timestamp,
     /// Time before which the quota is known to be used up.
@@ -78,7 +76,6 @@
             demand: 0.0,
             demand_updated_at: now,
             open_asks: VecDeque::new(),
-            unanswered: 0,
             next_ask_at: Timestamp::ZERO,
             exhausted_until: Timestamp::ZERO,
             replied_at: None,
@@ -122,14 +119,19 @@
         self.debt = (self.debt + 1).min(max_debt);
     }
 
-    /// Time until one more request fits, if no reply will tell earlier.
-    pub(crate) fn refusal_time(&self, now: Timestamp, local_window: Duration) -> Option<Duration> {
+    /// Time until one more request fits, if no reply will tell earlier. A reply can come if an ask is open or if the
+    /// owner `can_be_asked`.
+    pub(crate) fn refusal_time(
+        &self,
+        now: Timestamp,
+        can_be_asked: bool,
+        local_window: Duration,
+    ) -> Option<Duration> {
         if self.exhausted_until > now {
             return Some(self.exhausted_until.since(now));
         }
-        let is_answered = self.unanswered < MAX_UNANSWERED;
-        let paused = self.next_ask_at > now && self.open_asks.is_empty();
-        if is_answered && !paused {
+        let is_awaiting = self.is_awaiting(now, MAX_REPLY_TIME);
+        if is_awaiting || (can_be_asked && self.next_ask_at <= now) {
             return None;
         }
         let oldest = self.local.front();
@@ -150,21 +152,21 @@
         lifetime: Duration,
     ) -> Option<u32> {
         self.expire_asks(now, lifetime);
-        let is_awaiting = self
-            .open_asks
-            .back()
-            .is_some_and(|ask| now.since(ask.asked_at) < REPLY_TIMEOUT);
-        if is_awaiting || now < self.next_ask_at {
+        if self.is_awaiting(now, REPLY_TIMEOUT) || now < self.next_ask_at {
             return None;
         }
         let expected = self.current_demand(now) * lifetime.as_secs_f64();
-        let expected = if expected < 1.0 { 0.0 } else { expected };
+        let expected = if expected < MIN_EXPECTED {
+            0.0
+        } else {
+            expected
+        };
         let held: u32 = self.grants.iter().map(|(_, tokens)| tokens).sum();
         let is_low = f64::from(held) < expected / 2.0;
         if waiting == 0 && self.debt == 0 && !is_low {
             return None;
         }
-        let ahead = (expected.ceil() as u32).saturating_sub(held);
+        let ahead = (expected as u32).saturating_sub(held);
         Some(
             waiting
                 .saturating_add(self.debt)
@@ -175,10 +177,6 @@
 
     /// Records that an ask is sent.
     pub(crate) fn record_ask(&mut self, now: Timestamp, id: u32, wanted: u32) {
-        self.unanswered = self.unanswered.saturating_add(1);
-        if self.unanswered >= MAX_UNANSWERED {
-            self.next_ask_at = now + RETRY_INTERVAL;
-        }
         let asked_at = now;
         self.open_asks.push_back(OpenAsk {
             id,
@@ -202,7 +200,6 @@
         let Some(ask) = position.and_then(|i| self.open_asks.remove(i)) else {
             return;
         };
-        self.unanswered = 0;
         self.open_asks.retain(|other| other.id > id);
         self.replied_at = Some(now);
         let ends_at = ask.asked_at + lifetime;
@@ -229,7 +226,6 @@
     pub(crate) fn end_grants(&mut self) {
         self.grants.clear();
         self.open_asks.clear();
-        self.unanswered = 0;
         self.next_ask_at = Timestamp::ZERO;
         self.exhausted_until = Timestamp::ZERO;
     }
@@ -239,6 +235,12 @@
         now.since(self.demand_updated_at) > idle_time && self.debt == 0
     }
 
+    /// Whether something was asked for so lately that a reply may come.
+    fn is_awaiting(&self, now: Timestamp, time: Duration) -> bool {
+        let last = self.open_asks.back();
+        last.is_some_and(|ask| now.since(ask.asked_at) < time)
+    }
+
     fn current_demand(&self, now: Timestamp) -> f64 {
         let age = now.since(self.demand_updated_at).as_secs_f64();
         self.demand * (-age / DEMAND_TIME.as_secs_f64()).exp()
--- a/crates/core/src/workspace_quotas.rs
+++ b/crates/core/src/workspace_quotas.rs
@@ -1,6 +1,7 @@
 //! Quotas of workspaces over all nodes: what this node admits, and what it grants to others.
 
 use crate::{
+    owner_contact::OwnerContact,
     prelude::*,
     quota_fleet::QuotaFleet,
     quota_message::MAX_QUOTA_ENTRIES,
@@ -37,8 +38,8 @@
     shares: HashMap<Arc<str>, QuotaShare>,
     /// Requests that wait for a reply, by workspace.
     waiting: HashMap<Arc<str>, u32>,
-    /// Times before which owners want no asks.
-    pauses: HashMap<SocketAddr, Timestamp>,
+    /// Exchange with each node that was asked lately.
+    contacts: HashMap<SocketAddr, OwnerContact>,
     next_id: u32,
     ask_tokens: f64,
     ask_tokens_at: Timestamp,
@@ -55,7 +56,7 @@
 }
 
 /// State of one workspace's share, for logs.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct QuotaShareStatus {
     /// Number of nodes that the local allowance is computed for; `None` if it is not known.
     pub fleet_size: Option<u32>,
@@ -77,7 +78,7 @@
             quotas: HashMap::new(),
             shares: HashMap::new(),
             waiting: HashMap::new(),
-            pauses: HashMap::new(),
+            contacts: HashMap::new(),
             next_id: 0,
             ask_tokens: ASK_BURST,
             ask_tokens_at: now,
@@ -141,9 +142,7 @@
         if self.try_take(now, workspace) {
             return QuotaDecision::Admitted;
         }
-        let local_window = self.limits.local_window();
-        let share = self.share(now, workspace);
-        if let Some(retry_after) = share.refusal_time(now, local_window) {
+        if let Some(retry_after) = self.refusal_time(now, workspace) {
             return QuotaDecision::Refused { retry_after };
         }
         *self.waiting.entry(Arc::clone(workspace)).or_default() += 1;
@@ -166,8 +165,7 @@
         if !self.quotas.contains_key(workspace) || self.try_take(now, workspace) {
             return QuotaDecision::Admitted;
         }
-        let local_window = self.limits.local_window();
-        match self.share(now, workspace).refusal_time(now, local_window) {
+        match self.refusal_time(now, workspace) {
             Some(retry_after) => QuotaDecision::Refused { retry_after },
             None => QuotaDecision::Pending,
         }
@@ -205,9 +203,9 @@
         let Some(owner) = self.fleet.owner(now, workspace) else {
             return;
         };
-        let is_paused = self.pauses.get(&owner).is_some_and(|until| *until > now);
         let is_own = self.fleet.is_own(owner);
-        if !is_own && (is_paused || !self.has_ask_token(now)) {
+        let may_send = is_own || (self.can_be_asked(now, owner) && self.has_ask_token(now));
+        if !may_send {
             return;
         }
         let id = self.next_id;
@@ -222,9 +220,10 @@
         self.next_id = id.wrapping_add(1);
         if is_own {
             let grants = self.grant_all(now, &asks);
-            return self.apply_grants(now, id, &grants);
+            return self.apply_grants(now, id, Duration::ZERO, &grants);
         }
         self.ask_tokens -= 1.0;
+        self.contacts.entry(owner).or_default().record_ask(now);
         let message = QuotaMessage::Ask { id, asks };
         outgoing.push(OutgoingQuotaMessage { to: owner, message });
     }
@@ -237,9 +236,10 @@
         message: &QuotaMessage,
         outgoing: &mut Vec<OutgoingQuotaMessage>,
     ) -> bool {
+        self.fleet.record_contact(now, from);
         match message {
             QuotaMessage::Ask { id, asks } => {
-                let pause = self.owner.record_ask(now, from);
+                let pause = self.owner.record_ask(now, from, &self.limits);
                 let grants = self.grant_all(now, asks);
                 let message = QuotaMessage::Reply {
                     id: *id,
@@ -250,10 +250,11 @@
                 false
             }
             QuotaMessage::Reply { id, pause, grants } => {
-                if !pause.is_zero() {
-                    self.pauses.insert(from, now + *pause);
-                }
-                self.apply_grants(now, *id, grants);
+                let Some(contact) = self.contacts.get_mut(&from) else {
+                    return false;
+                };
+                contact.record_reply(now, *pause);
+                self.apply_grants(now, *id, *pause, grants);
                 true
             }
         }
@@ -272,6 +273,20 @@
         }
     }
 
+    /// Time until one more request fits, unless a reply of the owner may tell earlier.
+    fn refusal_time(&mut self, now: Timestamp, workspace: &Arc<str>) -> Option<Duration> {
+        let owner = self.fleet.owner(now, workspace);
+        let can_be_asked = owner.is_some_and(|owner| self.can_be_asked(now, owner));
+        let local_window = self.limits.local_window();
+        self.share(now, workspace)
+            .refusal_time(now, can_be_asked, local_window)
+    }
+
+    fn can_be_asked(&self, now: Timestamp, owner: SocketAddr) -> bool {
+        let contact = self.contacts.get(&owner);
+        contact.is_none_or(|contact| contact.can_be_asked(now))
+    }
+
     fn try_take(&mut self, now: Timestamp, workspace: &Arc<str>) -> bool {
         let local_window = self.limits.local_window();
         let amount = self.share(now, workspace).division.uncoordinated;
@@ -297,7 +312,8 @@
         self.next_cleanup = now + idle_time;
         self.shares
             .retain(|_, share| !share.is_idle(now, idle_time));
-        self.pauses.retain(|_, until| *until > now);
+        self.contacts
+            .retain(|_, contact| !contact.is_idle(now, idle_time));
     }
 
     /// Asks that are due for all workspaces of one owner, `first` before the others.
@@ -331,7 +347,9 @@
 
     fn due_ask(&mut self, now: Timestamp, id: u32, workspace: &Arc<str>) -> Option<QuotaAsk> {
         let waiting = self.waiting.get(workspace).copied().unwrap_or_default();
-        let lifetime = self.limits.grant_lifetime();
+        let owner = self.fleet.owner(now, workspace)?;
+        let pause = self.contacts.get(&owner).map(OwnerContact::pause);
+        let lifetime = self.limits.grant_lifetime(pause.unwrap_or_default());
         let share = self.shares.get_mut(workspace)?;
         let wanted = share.next_ask(now, waiting, lifetime)?;
         share.record_ask(now, id, wanted);
@@ -353,8 +371,8 @@
         grants
     }
 
-    fn apply_grants(&mut self, now: Timestamp, id: u32, grants: &[QuotaGrant]) {
-        let lifetime = self.limits.grant_lifetime();
+    fn apply_grants(&mut self, now: Timestamp, id: u32, pause: Duration, grants: &[QuotaGrant]) {
+        let lifetime = self.limits.grant_lifetime(pause);
         for grant in grants {
             if let Some(share) = self.shares.get_mut(&grant.workspace) {
                 share.receive(now, id, grant, lifetime);
--- a/crates/core/tests/forwarding/forward_harness.rs
+++ b/crates/core/tests/forwarding/forward_harness.rs
@@ -52,6 +52,7 @@
             extra_window: Duration::from_secs(10),
             cold_excess: 1.5,
             cold_slack: 5.0,
+            quotas: None,
         },
         cross_zone_cost: 0.2,
         answer_margin: Duration::from_millis(10),
@@ -260,6 +261,18 @@
         sent
     }
 
+    /// Messages about quotas since the last call.
+    pub fn take_quota_messages(&mut self) -> Vec<OutgoingQuotaMessage> {
+        let messages = self.commands.iter().filter_map(|command| match command {
+            ForwardCommand::SendQuotaMessage(message) => Some(message.clone()),
+            _ => None,
+        });
+        let messages = messages.collect();
+        self.commands
+            .retain(|command| !matches!(command, ForwardCommand::SendQuotaMessage(_)));
+        messages
+    }
+
     /// Attempts cancelled since the last call.
     pub fn take_cancelled(&mut self) -> Vec<AttemptKey> {
         let cancelled = self.commands.iter().filter_map(|command| match command {
--- a/crates/core/tests/forwarding/main.rs
+++ b/crates/core/tests/forwarding/main.rs
@@ -7,5 +7,6 @@
 mod give_ups;
 mod notices;
 mod overload;
+mod quotas;
 mod replicas;
 mod schedules;
--- a/crates/node/tests/failed_task.rs
+++ b/crates/node/tests/failed_task.rs
@@ -96,6 +96,7 @@
                 extra_window: Duration::from_secs(10),
                 cold_excess: 1.5,
                 cold_slack: 5.0,
+                quotas: None,
             },
             cross_zone_cost: 0.5,
             answer_margin: Duration::from_millis(10),
