Carry messages about quotas in the datagrams between nodes

Change: field 8 of a beat, which older nodes ignore because such a datagram has no address; at most 16 workspaces and 200 bytes a name.

--- a/crates/wire/src/gen/medlarpost.member.rs
+++ b/crates/wire/src/gen/medlarpost.member.rs
@@ -23,6 +23,72 @@
     /// What upstreams said of themselves lately; at most 12.
     #[prost(message, repeated, tag = "7")]
     pub notices: ::prost::alloc::vec::Vec<Notice>,
+    /// A message about quotas of workspaces. Such a datagram is no beat: only it and the major version are set.
+    #[prost(message, optional, tag = "8")]
+    pub quota: ::core::option::Option<Quota>,
+}
+/// A message by which nodes share the quotas of workspaces.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Quota {
+    /// Number of the asks, which the grants repeat.
+    #[prost(uint32, tag = "1")]
+    pub id: u32,
+    /// A message of another kind is ignored.
+    #[prost(oneof = "quota::Content", tags = "2, 3")]
+    pub content: ::core::option::Option<quota::Content>,
+}
+/// Nested message and enum types in `Quota`.
+pub mod quota {
+    /// A message of another kind is ignored.
+    #[derive(Clone, PartialEq, ::prost::Oneof)]
+    pub enum Content {
+        /// From a node to the owner of workspaces.
+        #[prost(message, tag = "2")]
+        Asks(super::Asks),
+        /// The owner's reply.
+        #[prost(message, tag = "3")]
+        Grants(super::Grants),
+    }
+}
+/// What a node asks for.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Asks {
+    /// One for each workspace; at most 16.
+    #[prost(message, repeated, tag = "1")]
+    pub asks: ::prost::alloc::vec::Vec<Ask>,
+}
+/// Demand for requests of one workspace.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Ask {
+    /// Name of the workspace, at most 200 bytes.
+    #[prost(string, tag = "1")]
+    pub workspace: ::prost::alloc::string::String,
+    /// Requests that wait or are expected soon.
+    #[prost(uint32, tag = "2")]
+    pub wanted: u32,
+}
+/// What an owner grants.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Grants {
+    /// Milliseconds that the node should let pass before it asks this owner again.
+    #[prost(uint32, tag = "1")]
+    pub pause_ms: u32,
+    /// One for each workspace that the owner knows; at most 16.
+    #[prost(message, repeated, tag = "2")]
+    pub grants: ::prost::alloc::vec::Vec<Grant>,
+}
+/// Requests of one workspace that a node may admit soon.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Grant {
+    /// Name of the workspace, at most 200 bytes.
+    #[prost(string, tag = "1")]
+    pub workspace: ::prost::alloc::string::String,
+    /// Requests granted.
+    #[prost(uint32, tag = "2")]
+    pub tokens: u32,
+    /// Milliseconds after which one more request fits; 0 if the node may ask at once.
+    #[prost(uint32, tag = "3")]
+    pub retry_after_ms: u32,
 }
 /// Something that an upstream said of itself in a reply.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod handshake;
 pub mod handshake_codec;
 pub mod hello;
+pub mod member_datagram;
 pub mod member_heartbeat_codec;
 pub mod message;
 pub mod prelude;
@@ -16,6 +17,7 @@
 
 mod decode;
 mod encode;
+mod quota_codec;
 
 mod generated_member {
     // Included instead of declared as a module file, so that rustfmt leaves the generated code unchanged.
--- a/crates/wire/src/member_heartbeat_codec.rs
+++ b/crates/wire/src/member_heartbeat_codec.rs
@@ -1,8 +1,10 @@
-//! Codec for the UDP heartbeats of the membership protocol, by which nodes discover each other.
+//! Codec for the UDP datagrams between nodes: heartbeats, by which they discover each other, and messages about quotas.
 
 use crate::{
     generated_member::{self as gen_member, notice::Content},
+    member_datagram::MemberDatagram,
     prelude::*,
+    quota_codec::{decode_quota_message, encode_quota_message},
 };
 use medlarpost_core::membership::{MAX_NOTICES_PER_HEARTBEAT, MAX_QUARANTINED_PER_HEARTBEAT};
 use prost::Message as _;
@@ -20,7 +22,7 @@
 /// Longest name of an instance in a notice, in bytes.
 const MAX_INSTANCE_BYTES: usize = 200;
 
-/// Encodes and decodes one membership heartbeat per datagram.
+/// Encodes and decodes one heartbeat or message about quotas per datagram.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct MemberHeartbeatCodec;
 
@@ -44,6 +46,22 @@
             fleet: item.fleet_size,
             barred: barred.collect(),
             notices: item.notices.iter().map(encode_notice).collect(),
+            quota: None,
+        };
+        dst.reserve(message.encoded_len());
+        message.encode(dst)?;
+        Ok(())
+    }
+}
+
+impl Encoder<QuotaMessage> for MemberHeartbeatCodec {
+    type Error = std::io::Error;
+
+    fn encode(&mut self, item: QuotaMessage, dst: &mut bytes::BytesMut) -> std::io::Result<()> {
+        let message = gen_member::Beat {
+            major: MAJOR_VERSION,
+            quota: Some(encode_quota_message(&item)),
+            ..gen_member::Beat::default()
         };
         dst.reserve(message.encoded_len());
         message.encode(dst)?;
@@ -53,20 +71,20 @@
 
 impl Decoder for MemberHeartbeatCodec {
     type Error = std::io::Error;
-    type Item = Option<MemberHeartbeat>;
+    type Item = Option<MemberDatagram>;
 
-    /// Yields `None` as the item for a datagram that is not a valid heartbeat, instead of an error, so that unrelated
+    /// Yields `None` as the item for a datagram that is not valid, instead of an error, so that unrelated
     /// traffic can't end the socket's task.
     fn decode(&mut self, src: &mut bytes::BytesMut) -> std::io::Result<Option<Self::Item>> {
         if src.is_empty() {
             return Ok(None);
         }
         let datagram = src.split();
-        Ok(Some(decode_heartbeat(&datagram)))
+        Ok(Some(decode_datagram(&datagram)))
     }
 }
 
-fn decode_heartbeat(datagram: &[u8]) -> Option<MemberHeartbeat> {
+fn decode_datagram(datagram: &[u8]) -> Option<MemberDatagram> {
     if datagram.len() > MAX_DATAGRAM_BYTES {
         return None;
     }
@@ -74,6 +92,13 @@
     if message.major != MAJOR_VERSION {
         return None;
     }
+    match message.quota {
+        Some(quota) => decode_quota_message(quota).map(MemberDatagram::Quota),
+        None => decode_heartbeat(&message).map(MemberDatagram::Heartbeat),
+    }
+}
+
+fn decode_heartbeat(message: &gen_member::Beat) -> Option<MemberHeartbeat> {
     let heard = message.heard.iter().map(|heard| {
         Some(KnownMember {
             address: heard.address.parse().ok()?,
--- /dev/null
+++ b/crates/wire/src/quota_codec.rs
@@ -0,0 +1,91 @@
+//! Conversion of the messages about quotas between protobuf and the types of the core.
+
+use crate::{
+    generated_member::{self as gen_member, quota::Content},
+    prelude::*,
+};
+use medlarpost_core::quota_message::{MAX_GRANT, MAX_QUOTA_ENTRIES};
+
+/// Longest name of a workspace in a message, in bytes. A longer one is not shared between nodes.
+const MAX_WORKSPACE_BYTES: usize = 200;
+
+/// Upper bound for the times in a message; longer ones are cut to it.
+const MAX_TIME: Duration = Duration::from_mins(1);
+
+pub(crate) fn encode_quota_message(message: &QuotaMessage) -> gen_member::Quota {
+    match message {
+        QuotaMessage::Ask { id, asks } => {
+            let asks = asks.iter().filter(|ask| is_name(&ask.workspace));
+            let asks = asks.map(|ask| gen_member::Ask {
+                workspace: ask.workspace.to_string(),
+                wanted: ask.wanted,
+            });
+            let asks = asks.collect();
+            gen_member::Quota {
+                id: *id,
+                content: Some(Content::Asks(gen_member::Asks { asks })),
+            }
+        }
+        QuotaMessage::Reply { id, pause, grants } => {
+            let grants = grants.iter().filter(|grant| is_name(&grant.workspace));
+            let grants = grants.map(|grant| gen_member::Grant {
+                workspace: grant.workspace.to_string(),
+                tokens: grant.tokens,
+                retry_after_ms: encode_time(grant.retry_after),
+            });
+            let grants = gen_member::Grants {
+                pause_ms: encode_time(*pause),
+                grants: grants.collect(),
+            };
+            gen_member::Quota {
+                id: *id,
+                content: Some(Content::Grants(grants)),
+            }
+        }
+    }
+}
+
+/// Decodes a message; `None` if its kind is unknown. Entries beyond the bounds are left out.
+pub(crate) fn decode_quota_message(message: gen_member::Quota) -> Option<QuotaMessage> {
+    let id = message.id;
+    match message.content? {
+        Content::Asks(message) => {
+            let asks = message.asks.into_iter().take(MAX_QUOTA_ENTRIES);
+            let asks = asks.filter(|ask| is_name(&ask.workspace));
+            let asks = asks.map(|ask| QuotaAsk {
+                workspace: ask.workspace.into(),
+                wanted: ask.wanted.min(MAX_GRANT),
+            });
+            let asks = asks.collect();
+            Some(QuotaMessage::Ask { id, asks })
+        }
+        Content::Grants(message) => {
+            let grants = message.grants.into_iter().take(MAX_QUOTA_ENTRIES);
+            let grants = grants.filter(|grant| is_name(&grant.workspace));
+            let grants = grants.map(|grant| QuotaGrant {
+                workspace: grant.workspace.into(),
+                tokens: grant.tokens.min(MAX_GRANT),
+                retry_after: decode_time(grant.retry_after_ms),
+            });
+            Some(QuotaMessage::Reply {
+                id,
+                pause: decode_time(message.pause_ms),
+                grants: grants.collect(),
+            })
+        }
+    }
+}
+
+fn is_name(workspace: &str) -> bool {
+    (1..=MAX_WORKSPACE_BYTES).contains(&workspace.len())
+}
+
+/// Whole milliseconds, rounded up so that a time which is not zero stays so.
+fn encode_time(time: Duration) -> u32 {
+    let millis = time.min(MAX_TIME).as_micros().div_ceil(1_000);
+    u32::try_from(millis).unwrap_or(u32::MAX)
+}
+
+fn decode_time(millis: u32) -> Duration {
+    Duration::from_millis(millis.into()).min(MAX_TIME)
+}
--- a/crates/wire/tests/member_heartbeat_codec.rs
+++ b/crates/wire/tests/member_heartbeat_codec.rs
@@ -2,8 +2,11 @@
 //! codec fail and so end the socket's task.
 
 use bytes::BytesMut;
-use medlarpost_core::prelude::*;
-use medlarpost_wire::member_heartbeat_codec::MemberHeartbeatCodec;
+use medlarpost_core::{prelude::*, quota_message::MAX_QUOTA_ENTRIES};
+use medlarpost_wire::{
+    member_datagram::MemberDatagram,
+    member_heartbeat_codec::{MAX_DATAGRAM_BYTES, MemberHeartbeatCodec},
+};
 use proptest::{prelude::*, test_runner::RngSeed};
 use tokio_util::codec::{Decoder as _, Encoder as _};
 
@@ -45,7 +48,80 @@
 
     assert_eq!(
         MemberHeartbeatCodec.decode(&mut datagram).unwrap(),
-        Some(Some(heartbeat))
+        Some(Some(MemberDatagram::Heartbeat(heartbeat)))
+    );
+}
+
+fn ask(workspace: &str) -> QuotaAsk {
+    QuotaAsk {
+        workspace: workspace.into(),
+        wanted: 3,
+    }
+}
+
+fn grant(workspace: &str) -> QuotaGrant {
+    QuotaGrant {
+        workspace: workspace.into(),
+        tokens: 2,
+        retry_after: Duration::from_millis(250),
+    }
+}
+
+fn round_trip(message: QuotaMessage) -> (usize, Option<Option<MemberDatagram>>) {
+    let mut datagram = BytesMut::new();
+    MemberHeartbeatCodec.encode(message, &mut datagram).unwrap();
+    let bytes = datagram.len();
+    (bytes, MemberHeartbeatCodec.decode(&mut datagram).unwrap())
+}
+
+#[test]
+fn quota_messages_round_trip() {
+    let messages = [
+        QuotaMessage::Ask {
+            id: 7,
+            asks: vec![ask("w-1"), ask("w-2")],
+        },
+        QuotaMessage::Reply {
+            id: 7,
+            pause: Duration::from_millis(900),
+            grants: vec![grant("w-1")],
+        },
+    ];
+
+    for message in messages {
+        let (_, decoded) = round_trip(message.clone());
+
+        assert_eq!(decoded, Some(Some(MemberDatagram::Quota(message))));
+    }
+}
+
+/// Guards against messages that are too large for a datagram, and against peers that make a node hold long lists.
+#[test]
+fn quota_messages_are_bounded_in_size_and_number() {
+    let longest = "w".repeat(200);
+    let largest = QuotaMessage::Reply {
+        id: u32::MAX,
+        pause: Duration::from_secs(9),
+        grants: vec![grant(&longest); MAX_QUOTA_ENTRIES],
+    };
+    let asks = vec![ask("w"); MAX_QUOTA_ENTRIES + 1];
+    let too_long = vec![ask(&"w".repeat(201))];
+
+    let (bytes, _) = round_trip(largest);
+    let (_, too_many) = round_trip(QuotaMessage::Ask { id: 1, asks });
+    let (_, too_long) = round_trip(QuotaMessage::Ask {
+        id: 1,
+        asks: too_long,
+    });
+
+    let asks_in = |decoded| match decoded {
+        Some(Some(MemberDatagram::Quota(QuotaMessage::Ask { asks, .. }))) => asks.len(),
+        other => panic!("not asks: {other:?}"),
+    };
+    assert!(bytes <= MAX_DATAGRAM_BYTES, "{bytes}");
+    assert_eq!(
+        (asks_in(too_many), asks_in(too_long)),
+        (MAX_QUOTA_ENTRIES, 0)
     );
 }
 
