--- a/crates/node/src/forward_log.rs
+++ b/crates/node/src/forward_log.rs
@@ -42,6 +42,14 @@
             version,
         } => info!(log, "refused_unauthenticated"; "request" => &**request, "route" => &**route,
             "key" => credential.log_id(), "version" => *version),
+        ForwardTelemetry::RefusedOverQuota {
+            request,
+            workspace,
+            retry_after,
+            share,
+        } => write_over_quota(log, request, workspace, *retry_after, share),
+        // Counted by the metrics only.
+        ForwardTelemetry::WithinQuota { .. } => {}
         ForwardTelemetry::RequestQuarantined { digest, from_peer } => {
             warn!(log, "request_barred"; "digest" => %digest, "told" => *from_peer);
         }
@@ -100,17 +108,33 @@
             notice,
             service,
             from_peer,
-        } => {
-            let left = match notice.kind {
-                NoticeKind::Leaving => None,
-                NoticeKind::Resting { left } => Some(left.as_millis() as u64),
-            };
-            info!(log, "upstream_notice"; "instance" => &*notice.instance,
-                "service" => service.as_deref().unwrap_or("none"), "kind" => notice.kind.name(),
-                "left_ms" => left, "told" => *from_peer, "age_ms" => notice.age.as_millis() as u64);
-        }
+        } => write_notice(log, notice, service.as_deref(), *from_peer),
         ForwardTelemetry::ConfigurationApplied { version, routes } => {
             info!(log, "configuration_in_force"; "version" => *version, "routes" => *routes);
         }
     }
 }
+
+fn write_notice(log: &Logger, notice: &UpstreamNotice, service: Option<&str>, from_peer: bool) {
+    let left = match notice.kind {
+        NoticeKind::Leaving => None,
+        NoticeKind::Resting { left } => Some(left.as_millis() as u64),
+    };
+    info!(log, "upstream_notice"; "instance" => &*notice.instance,
+        "service" => service.unwrap_or("none"), "kind" => notice.kind.name(),
+        "left_ms" => left, "told" => from_peer, "age_ms" => notice.age.as_millis() as u64);
+}
+
+fn write_over_quota(
+    log: &Logger,
+    request: &str,
+    workspace: &str,
+    retry_after: Duration,
+    share: &QuotaShareStatus,
+) {
+    info!(log, "refused_over_quota"; "request" => request, "workspace" => workspace,
+        "retry_after_ms" => retry_after.as_millis() as u64,
+        "local_allowance" => share.local_allowance, "fleet_size" => share.fleet_size,
+        "owner" => share.is_owner,
+        "reply_age_ms" => share.reply_age.map(|age| age.as_millis() as u64));
+}
--- a/crates/node/src/forward_metrics.rs
+++ b/crates/node/src/forward_metrics.rs
@@ -1,6 +1,6 @@
 //! Prometheus metrics of forwarded requests.
 
-use crate::prelude::*;
+use crate::{prelude::*, workspace_labels::WorkspaceLabels};
 use prometheus::{HistogramOpts, HistogramVec, IntCounterVec, Opts, Registry};
 
 /// Upper bounds of the histogram buckets for answer times, in seconds.
@@ -17,6 +17,8 @@
     given_up: IntCounterVec,
     upstream_changes: IntCounterVec,
     notices: IntCounterVec,
+    quota_decisions: IntCounterVec,
+    workspaces: WorkspaceLabels,
 }
 
 impl ForwardMetrics {
@@ -68,6 +70,12 @@
                 "Notices that an upstream is leaving or wants no requests, by kind and by who told this node",
                 &["kind", "source"],
             )?,
+            quota_decisions: counter_by(
+                "medlarpost_forward_quota_decisions_total",
+                "Requests of workspaces, by workspace and by what their quota decided",
+                &["workspace", "decision"],
+            )?,
+            workspaces: WorkspaceLabels::default(),
         })
     }
 
@@ -77,7 +85,7 @@
     }
 
     /// Updates the metrics from a telemetry record.
-    pub(crate) fn record(&self, telemetry: &ForwardTelemetry) {
+    pub(crate) fn record(&mut self, telemetry: &ForwardTelemetry) {
         match telemetry {
             ForwardTelemetry::ExtraAttempt { cause, .. } => {
                 self.extra_attempts.with_label_values(&[*cause]).inc();
@@ -105,6 +113,13 @@
             ForwardTelemetry::RefusedUnauthenticated { .. } => {
                 self.given_up.with_label_values(&["unauthenticated"]).inc();
             }
+            ForwardTelemetry::RefusedOverQuota { workspace, .. } => {
+                self.count_quota_decision(workspace, "refused");
+            }
+            ForwardTelemetry::WithinQuota {
+                workspace,
+                decision,
+            } => self.count_quota_decision(workspace, decision),
             ForwardTelemetry::ShardGivenUp { cause, .. } => {
                 self.given_up.with_label_values(&[*cause]).inc();
             }
@@ -121,4 +136,11 @@
             | ForwardTelemetry::RequestQuarantined { .. } => {}
         }
     }
+
+    fn count_quota_decision(&mut self, workspace: &Arc<str>, decision: &str) {
+        let workspace = self.workspaces.label(workspace);
+        self.quota_decisions
+            .with_label_values(&[workspace, decision])
+            .inc();
+    }
 }
--- a/crates/node/src/forward_task.rs
+++ b/crates/node/src/forward_task.rs
@@ -8,6 +8,7 @@
     member_task::Announcement,
     prelude::*,
     reply_memory::{ReplyMemory, ReplySize},
+    suspension_detector::SuspensionDetector,
     upstream_connection::{ConnectionParts, ConnectionReport, ForwardJob, UpstreamConnectionKey},
 };
 use actix_http::ServiceConfig;
@@ -88,7 +89,7 @@
     pub limits: watch::Sender<CallerLimits>,
     /// Result of the readiness check; this task updates whether requests can be answered.
     pub ready: watch::Sender<Readiness>,
-    /// What this node has learnt, for the heartbeats to other nodes.
+    /// What this node tells the other nodes.
     pub announcements: mpsc::UnboundedSender<Announcement>,
 }
 
@@ -97,6 +98,7 @@
     tx: ForwardSender,
     pools: SecondaryMap<UpstreamKey, ConnectionPool<D>>,
     callers: SlotMap<CallerKey, mpsc::UnboundedSender<CallerMessage>>,
+    suspensions: SuspensionDetector,
     commands: Vec<ForwardCommand>,
 }
 
@@ -111,6 +113,7 @@
         tx,
         pools: SecondaryMap::new(),
         callers: SlotMap::with_key(),
+        suspensions: SuspensionDetector::start(),
         commands: Vec::new(),
     };
     let timer = tokio::time::sleep(Duration::ZERO);
@@ -194,6 +197,10 @@
     fn handle_event(&mut self, event: ForwardEvent) {
         let now = self.parts.clock.now();
         let mut commands = std::mem::take(&mut self.commands);
+        if self.suspensions.was_suspended() {
+            let interrupted = ForwardEvent::Interrupted;
+            self.parts.forwarder.handle(now, interrupted, &mut commands);
+        }
         self.parts.forwarder.handle(now, event, &mut commands);
         for command in commands.drain(..) {
             self.execute(now, command);
@@ -262,6 +269,9 @@
                 self.announce(Announcement::Quarantined(digest));
             }
             ForwardCommand::AnnounceNotice(notice) => self.announce(Announcement::Notice(notice)),
+            ForwardCommand::SendQuotaMessage(message) => {
+                self.announce(Announcement::Quota(message));
+            }
             ForwardCommand::Record(telemetry) => {
                 self.parts.metrics.record(&telemetry);
                 crate::forward_log::write_telemetry(&self.parts.log, &telemetry);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod tls;
 pub mod upstream_task;
 pub mod workers;
+pub mod workspace_labels;
 
 mod admin_api;
 mod caller_connection;
@@ -52,6 +53,7 @@
 mod redeem_calls;
 mod snapshot_exchange;
 mod status_metrics;
+mod suspension_detector;
 mod upstream_connection;
 mod upstream_http;
 mod upstream_metrics;
--- a/crates/node/src/member_task.rs
+++ b/crates/node/src/member_task.rs
@@ -1,13 +1,15 @@
-//! The task that owns the UDP socket for heartbeats between nodes.
+//! The task that owns the UDP socket for heartbeats and messages about quotas between nodes.
 
 use crate::{
     forward_task::{ForwardMessage, ForwardSender},
     prelude::*,
 };
 use futures_util::{SinkExt as _, StreamExt as _};
-use medlarpost_wire::member_heartbeat_codec::MemberHeartbeatCodec;
+use medlarpost_wire::{
+    member_datagram::MemberDatagram, member_heartbeat_codec::MemberHeartbeatCodec,
+};
 use tokio::net::UdpSocket;
-use tokio_util::udp::UdpFramed;
+use tokio_util::{codec::Encoder, udp::UdpFramed};
 
 /// Interval of heartbeats.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_secs(1);
@@ -15,18 +17,20 @@
 /// Interval of heartbeats while no other node is known.
 const DISCOVERY_INTERVAL: Duration = Duration::from_millis(200);
 
-/// Something that this node has learnt and tells the others.
+/// Something that this node tells the others.
 #[derive(Clone, Debug)]
 pub enum Announcement {
     /// Requests with this digest crash upstreams.
     Quarantined(Digest),
     /// What an upstream says of itself.
     Notice(UpstreamNotice),
+    /// A message about quotas for one other node.
+    Quota(OutgoingQuotaMessage),
 }
 
 /// Channels between the membership task and the rest of the node.
 pub(crate) struct MemberChannels {
-    /// What this node has learnt, to include in heartbeats.
+    /// What this node has learnt, to include in heartbeats, and its messages about quotas.
     pub(crate) announcements: mpsc::UnboundedReceiver<Announcement>,
     /// Receives the fleet size, and what other nodes have learnt.
     pub(crate) forward: ForwardSender,
@@ -55,7 +59,7 @@
     loop {
         tokio::select! {
             received = framed.next() => match received {
-                Some(Ok((Some(heartbeat), from))) => {
+                Some(Ok((Some(MemberDatagram::Heartbeat(heartbeat)), from))) => {
                     for QuarantinedRequest { digest, age } in membership.merge_quarantined(clock.now(), &heartbeat) {
                         channels.send_event(ForwardEvent::QuarantinedElsewhere { digest, age });
                     }
@@ -63,9 +67,12 @@
                         channels.send_event(ForwardEvent::UpstreamNoticed(notice));
                     }
                     if let Some(answer) = membership.handle_heartbeat(clock.now(), &heartbeat) {
-                        send_heartbeat(&mut framed, answer, from, &log).await;
+                        send_datagram(&mut framed, answer, from, &log).await;
                     }
                 }
+                Some(Ok((Some(MemberDatagram::Quota(message)), from))) => {
+                    channels.send_event(ForwardEvent::QuotaMessageReceived { from, message });
+                }
                 Some(Ok((None, from))) => debug!(log, "datagram_unreadable"; "from" => %from),
                 // Refers to an earlier datagram, for example an unreachable port.
                 Some(Err(fault)) => debug!(log, "datagram_failed"; "fault" => %fault),
@@ -78,13 +85,18 @@
                 }
                 // Waits for the next heartbeat, because an overloaded upstream gives many notices.
                 Announcement::Notice(notice) => membership.announce_notice(clock.now(), notice),
+                Announcement::Quota(OutgoingQuotaMessage { to, message }) => {
+                    send_datagram(&mut framed, message, to, &log).await;
+                }
             },
             () = tokio::time::sleep_until(next_heartbeat) => {
                 let (targets, heartbeat) = membership.next_heartbeat(clock.now());
+                let sighting = membership.sighting(clock.now());
+                channels.send_event(ForwardEvent::FleetSighted(sighting));
                 let interval = if heartbeat.answer_wanted { DISCOVERY_INTERVAL } else { HEARTBEAT_INTERVAL };
                 next_heartbeat = tokio::time::Instant::now() + interval;
                 for target in targets {
-                    send_heartbeat(&mut framed, heartbeat.clone(), target, &log).await;
+                    send_datagram(&mut framed, heartbeat.clone(), target, &log).await;
                 }
             }
         }
@@ -103,14 +115,16 @@
     }
 }
 
-async fn send_heartbeat(
+async fn send_datagram<M>(
     framed: &mut UdpFramed<MemberHeartbeatCodec>,
-    heartbeat: MemberHeartbeat,
+    message: M,
     target: SocketAddr,
     log: &Logger,
-) {
-    // A lost heartbeat needs no retry: the next one replaces it.
-    if let Err(fault) = framed.send((heartbeat, target)).await {
+) where
+    MemberHeartbeatCodec: Encoder<M, Error = std::io::Error>,
+{
+    // A lost message needs no retry here: the next heartbeat or ask replaces it.
+    if let Err(fault) = framed.send((message, target)).await {
         debug!(log, "datagram_not_sent"; "to" => %target, "fault" => %fault);
     }
 }
--- a/crates/wire/tests/member_heartbeat_codec.rs
+++ b/crates/wire/tests/member_heartbeat_codec.rs
@@ -67,11 +67,12 @@
     }
 }
 
-fn round_trip(message: QuotaMessage) -> (usize, Option<Option<MemberDatagram>>) {
+fn round_trip(message: QuotaMessage) -> (usize, Option<MemberDatagram>) {
     let mut datagram = BytesMut::new();
     MemberHeartbeatCodec.encode(message, &mut datagram).unwrap();
     let bytes = datagram.len();
-    (bytes, MemberHeartbeatCodec.decode(&mut datagram).unwrap())
+    let decoded = MemberHeartbeatCodec.decode(&mut datagram).unwrap();
+    (bytes, decoded.flatten())
 }
 
 #[test]
@@ -91,7 +92,7 @@
     for message in messages {
         let (_, decoded) = round_trip(message.clone());
 
-        assert_eq!(decoded, Some(Some(MemberDatagram::Quota(message))));
+        assert_eq!(decoded, Some(MemberDatagram::Quota(message)));
     }
 }
 
@@ -115,7 +116,7 @@
     });
 
     let asks_in = |decoded| match decoded {
-        Some(Some(MemberDatagram::Quota(QuotaMessage::Ask { asks, .. }))) => asks.len(),
+        Some(MemberDatagram::Quota(QuotaMessage::Ask { asks, .. })) => asks.len(),
         other => panic!("not asks: {other:?}"),
     };
     assert!(bytes <= MAX_DATAGRAM_BYTES, "{bytes}");
