--- a/crates/core/src/quota_share.rs
+++ b/crates/core/src/quota_share.rs
@@ -18,6 +18,9 @@
 /// Least time between a reply that does not cover what was wanted and the next ask.
 const MIN_ASK_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Shortest retry time that a refused caller is given, which its header field can express.
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(1);
+
 /// Asks of which a late reply is still accepted.
 const MAX_OPEN_ASKS: usize = 4;
 
@@ -128,7 +131,7 @@
         local_window: Duration,
     ) -> Option<Duration> {
         if self.exhausted_until > now {
-            return Some(self.exhausted_until.since(now));
+            return Some(self.exhausted_until.since(now).max(MIN_RETRY_AFTER));
         }
         let is_awaiting = self.is_awaiting(now, MAX_REPLY_TIME);
         if is_awaiting || (can_be_asked && self.next_ask_at <= now) {
@@ -205,8 +208,8 @@
         let ends_at = ask.asked_at + lifetime;
         let wait = grant.retry_after;
         if grant.tokens < ask.wanted && !wait.is_zero() {
-            self.exhausted_until = now + wait;
             self.next_ask_at = now + wait.max(MIN_ASK_INTERVAL);
+            self.exhausted_until = self.next_ask_at;
         }
         if ends_at <= now {
             return;
--- a/crates/medlarctl/tests/explain_command.rs
+++ b/crates/medlarctl/tests/explain_command.rs
@@ -36,6 +36,28 @@
     );
 }
 
+/// Guards against a refusal with 429 whose explanation names neither the workspace nor the share that the node used.
+#[test]
+fn explanation_of_a_request_over_its_quota_shows_the_share_and_the_configuration() {
+    let log = "\
+ts=100.000 level=INFO event=configuration_in_force routes=18 version=4 node=n-1
+ts=101.000 level=INFO event=fleet_size_changed to=25 from=24 node=n-1
+ts=101.200 level=INFO event=refused_over_quota reply_age_ms=40 owner=false fleet_size=25 local_allowance=1 retry_after_ms=700 workspace=w-1 request=a node=n-1
+";
+
+    let explanation = explain(log, "a");
+
+    for part in [
+        "configuration_in_force",
+        "fleet_size_changed",
+        "workspace=w-1",
+        "local_allowance=1",
+        "reply_age_ms=40",
+    ] {
+        assert!(explanation.contains(part), "{part}: {explanation}");
+    }
+}
+
 #[test]
 fn request_without_log_lines_is_reported_as_such() {
     assert!(explain(LOG, "z").starts_with("no line of request z"));
