Let a starting node wait for the members instead of refusing

Cause: a node that had just started took itself for the owner without a share, and refused for a second. Change: it asks nobody until it has heard of a member, and is told of one at once; the time until the next ask is at most a second, because an owner's share grows after its start.

--- a/crates/core/src/forward_quota.rs
+++ b/crates/core/src/forward_quota.rs
@@ -49,6 +49,7 @@
     pub(crate) fn update_quota_fleet(&mut self, now: Timestamp, sighting: &FleetSighting) {
         if let Some(quotas) = &mut self.quotas {
             quotas.update_fleet(now, sighting);
+            self.parked_retry_at = now;
         }
     }
 
--- a/crates/core/src/quota_share.rs
+++ b/crates/core/src/quota_share.rs
@@ -18,6 +18,9 @@
 /// Least time between a reply that does not cover what was wanted and the next ask.
 const MIN_ASK_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Longest time until the next ask. The owner's share may have grown meanwhile.
+const MAX_ASK_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Shortest retry time that a refused caller is given, which its header field can express.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(1);
 
@@ -130,7 +133,7 @@
         can_be_asked: bool,
         local_window: Duration,
     ) -> Option<Duration> {
-        if self.exhausted_until > now {
+        if self.exhausted_until > now && self.next_ask_at > now {
             return Some(self.exhausted_until.since(now).max(MIN_RETRY_AFTER));
         }
         let is_awaiting = self.is_awaiting(now, MAX_REPLY_TIME);
@@ -208,8 +211,8 @@
         let ends_at = ask.asked_at + lifetime;
         let wait = grant.retry_after;
         if grant.tokens < ask.wanted && !wait.is_zero() {
-            self.next_ask_at = now + wait.max(MIN_ASK_INTERVAL);
-            self.exhausted_until = self.next_ask_at;
+            self.next_ask_at = now + wait.clamp(MIN_ASK_INTERVAL, MAX_ASK_INTERVAL);
+            self.exhausted_until = now + wait.max(MIN_ASK_INTERVAL);
         }
         if ends_at <= now {
             return;
--- a/crates/core/src/workspace_quotas.rs
+++ b/crates/core/src/workspace_quotas.rs
@@ -203,6 +203,9 @@
         let Some(owner) = self.fleet.owner(now, workspace) else {
             return;
         };
+        if self.fleet.size().is_none() {
+            return;
+        }
         let is_own = self.fleet.is_own(owner);
         let may_send = is_own || (self.can_be_asked(now, owner) && self.has_ask_token(now));
         if !may_send {
@@ -275,6 +278,10 @@
 
     /// Time until one more request fits, unless a reply of the owner may tell earlier.
     fn refusal_time(&mut self, now: Timestamp, workspace: &Arc<str>) -> Option<Duration> {
+        if self.fleet.size().is_none() {
+            // Other nodes answer the first heartbeat of a new one within milliseconds.
+            return None;
+        }
         let owner = self.fleet.owner(now, workspace);
         let can_be_asked = owner.is_some_and(|owner| self.can_be_asked(now, owner));
         let local_window = self.limits.local_window();
--- a/crates/core/tests/quotas/quota_sim.rs
+++ b/crates/core/tests/quotas/quota_sim.rs
@@ -149,7 +149,7 @@
                 seed: self.random.u64(..),
             }),
             origin: self.now,
-            next_heartbeat: self.now + self.random_delay(Duration::from_millis(500)),
+            next_heartbeat: self.now,
             parked: Vec::new(),
             pause: None,
             part: 0,
@@ -415,7 +415,12 @@
             match packet.payload {
                 Payload::Heartbeat(heartbeat) => {
                     let node = &mut self.nodes[packet.to];
+                    let known = node.membership.fleet_size(time);
                     let answer = node.membership.handle_heartbeat(time, &heartbeat);
+                    if node.membership.fleet_size(time) != known {
+                        let sighting = node.membership.sighting(time);
+                        node.quotas.update_fleet(time, &sighting);
+                    }
                     if let Some(answer) = answer {
                         self.send(packet.to, packet.from, Payload::Heartbeat(answer));
                     }
--- a/crates/core/tests/quotas/service.rs
+++ b/crates/core/tests/quotas/service.rs
@@ -110,6 +110,47 @@
     assert!(refused < 0.02, "{refused}");
 }
 
+/// Guards against a node that refuses for seconds after its start, although others could grant what it needs.
+#[test]
+fn restarted_node_gets_grants_at_once() {
+    let quota = Quota {
+        rate: 8.0,
+        burst: 5.0,
+    };
+    let mut sim = QuotaSim::settled(25, vec![workspace("w", quota)], 7);
+    let owner = sim.owners(&name())[0];
+    let node = (owner + 1) % 25;
+    sim.restart(node);
+
+    sim.advance_with(Duration::from_secs(2), |sim| {
+        send_poisson(sim, 5.0, |_| node);
+    });
+
+    assert!(!sim.runs.is_empty());
+    assert_eq!(sim.refused.len(), 0, "of {}", sim.runs.len());
+}
+
+/// Guards against a fleet that goes on refusing long after all of its nodes were started together.
+#[test]
+fn fleet_serves_the_quota_one_window_after_its_start() {
+    let quota = Quota {
+        rate: 8.0,
+        burst: 5.0,
+    };
+    let mut sim = QuotaSim::started(25, vec![workspace("w", quota)], 8);
+    let send = |sim: &mut QuotaSim| {
+        send_poisson(sim, 5.0, |random| random.usize(..25));
+    };
+    sim.advance_with(LIMITS.window, send);
+    let refused_at_first = sim.refused.len();
+    sim.reset_counts();
+
+    sim.advance_with(RUN, send);
+
+    let refused = sim.refused.len() as f64 / (sim.runs.len() + sim.refused.len()) as f64;
+    assert!(refused < 0.01, "{refused}, at first {refused_at_first}");
+}
+
 /// Guards against a retry time that tells callers to come back when nothing fits yet, or much too late.
 #[test]
 fn refused_callers_are_told_when_the_next_request_fits() {
--- a/crates/node/src/member_task.rs
+++ b/crates/node/src/member_task.rs
@@ -111,6 +111,8 @@
             info!(log, "fleet_size_changed"; "from" => known_size, "to" => current_size);
             known_size = current_size;
             channels.send_event(ForwardEvent::FleetSize(known_size));
+            let sighting = membership.sighting(clock.now());
+            channels.send_event(ForwardEvent::FleetSighted(sighting));
         }
     }
 }
