--- a/crates/core/src/quota_owner.rs
+++ b/crates/core/src/quota_owner.rs
@@ -9,10 +9,14 @@
 /// them all.
 const MAX_TOKEN_SHARE: f64 = 0.5;
 
-/// Asks that an owner takes in one second.
-const MAX_ASKS_PER_SECOND: f64 = 32.0;
+/// Asks that an owner takes in one second, in a fleet of up to [`SMALL_FLEET`] nodes and in a larger one. A reply has
+/// about 70 bytes, and the heartbeats of a large fleet leave less of the 6 KB a second for control traffic.
+const MAX_ASKS_PER_SECOND: (f64, f64) = (64.0, 32.0);
 
-/// Share of [`MAX_ASKS_PER_SECOND`] from which on the owner asks the nodes to pause.
+/// Nodes up to which heartbeats are short.
+const SMALL_FLEET: u32 = 128;
+
+/// Share of the greatest rate of asks from which on the owner asks the nodes to pause.
 const PAUSE_THRESHOLD: f64 = 0.9;
 
 /// Time over which asks are counted.
@@ -69,10 +73,18 @@
         &mut self,
         now: Timestamp,
         from: SocketAddr,
+        fleet: &QuotaFleet,
         limits: &QuotaLimits,
     ) -> Duration {
+        let (in_small_fleet, in_large_fleet) = MAX_ASKS_PER_SECOND;
+        let is_small = fleet.size().is_some_and(|size| size <= SMALL_FLEET);
+        let max_rate = if is_small {
+            in_small_fleet
+        } else {
+            in_large_fleet
+        };
         self.load.record(now, from);
-        let pause = self.load.pause(now);
+        let pause = self.load.pause(now, max_rate);
         if !pause.is_zero() {
             self.long_until = now + limits.max_grant_lifetime() + limits.local_window();
         }
@@ -143,14 +155,14 @@
     }
 
     /// Time in which each of the nodes may ask once without exceeding the rate; nothing while the rate is kept.
-    fn pause(&mut self, now: Timestamp) -> Duration {
+    fn pause(&mut self, now: Timestamp, max_rate: f64) -> Duration {
         let rate = f64::from(self.asks.max(self.last_asks)) / ASK_WINDOW.as_secs_f64();
-        if rate > MAX_ASKS_PER_SECOND * PAUSE_THRESHOLD {
+        if rate > max_rate * PAUSE_THRESHOLD {
             self.pausing_until = now + PAUSING_TIME;
         }
         if now >= self.pausing_until {
             return Duration::ZERO;
         }
-        Duration::from_secs_f64(self.askers.len() as f64 / MAX_ASKS_PER_SECOND).min(MAX_PAUSE)
+        Duration::from_secs_f64(self.askers.len() as f64 / max_rate).min(MAX_PAUSE)
     }
 }
--- a/crates/core/src/quota_share.rs
+++ b/crates/core/src/quota_share.rs
@@ -13,7 +13,10 @@
 const MAX_REPLY_TIME: Duration = Duration::from_millis(100);
 
 /// Requests expected during the life of a grant below which none is asked for ahead, because it would mostly be wasted.
-const MIN_EXPECTED: f64 = 1.0;
+const MIN_EXPECTED: f64 = 0.8;
+
+/// Standard deviations of the expected requests by which a node asks for more of them.
+const AHEAD_DEVIATIONS: f64 = 0.5;
 
 /// Least time between a reply that does not cover what was wanted and the next ask.
 const MIN_ASK_INTERVAL: Duration = Duration::from_millis(50);
@@ -172,7 +175,8 @@
         if waiting == 0 && self.debt == 0 && !is_low {
             return None;
         }
-        let ahead = (expected as u32).saturating_sub(held);
+        let margin = expected.sqrt() * AHEAD_DEVIATIONS;
+        let ahead = ((expected + margin).round() as u32).saturating_sub(held);
         Some(
             waiting
                 .saturating_add(self.debt)
--- a/crates/core/src/workspace_quotas.rs
+++ b/crates/core/src/workspace_quotas.rs
@@ -242,7 +242,7 @@
         self.fleet.record_contact(now, from);
         match message {
             QuotaMessage::Ask { id, asks } => {
-                let pause = self.owner.record_ask(now, from, &self.limits);
+                let pause = self.owner.record_ask(now, from, &self.fleet, &self.limits);
                 let grants = self.grant_all(now, asks);
                 let message = QuotaMessage::Reply {
                     id: *id,
@@ -278,10 +278,8 @@
 
     /// Time until one more request fits, unless a reply of the owner may tell earlier.
     fn refusal_time(&mut self, now: Timestamp, workspace: &Arc<str>) -> Option<Duration> {
-        if self.fleet.size().is_none() {
-            // Other nodes answer the first heartbeat of a new one within milliseconds.
-            return None;
-        }
+        // Other nodes answer the first heartbeat of a new one within milliseconds, so that it is worth waiting for.
+        self.fleet.size()?;
         let owner = self.fleet.owner(now, workspace);
         let can_be_asked = owner.is_some_and(|owner| self.can_be_asked(now, owner));
         let local_window = self.limits.local_window();
