Merge the quotas of workspaces over all nodes

The admission of a request is parted into a check and the start of its flow, because quotas, keys and the shutdown each added to one long function; a waiting request keeps when it arrived, by which its key is judged.

--- a/crates/core/src/forward_admission.rs
+++ b/crates/core/src/forward_admission.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     forward_flow::{Flow, ShardAttempts, ShardMerge},
+    forward_quota::QuotaCharge,
     prelude::*,
     record_merge::RecordMerge,
 };
@@ -25,79 +26,155 @@
 /// Rank up to which a route is urgent, so that its requests are refused last.
 const MAX_URGENT_RANK: u32 = 1;
 
+/// A request that awaits admission.
+#[derive(Clone, Debug)]
+pub(crate) struct Arrival {
+    pub(crate) caller: CallerKey,
+    pub(crate) request: Arc<ForwardRequest>,
+    /// When it had arrived completely, or later.
+    pub(crate) arrived_at: BootTime,
+}
+
+/// What the admission of a request has found out about it.
+struct Admission {
+    table: Arc<RoutingTable>,
+    route: RouteIndex,
+    identity: CallerIdentity,
+    shards: Vec<ShardAttempts>,
+    deadline: AnswerDeadline,
+}
+
+/// Why a request is refused before anything is sent.
+struct Rejection {
+    refusal: ForwardRefusal,
+    telemetry: Option<ForwardTelemetry>,
+}
+
+impl Rejection {
+    /// A refusal that is not recorded: nothing is known that would explain it.
+    fn unrecorded(refusal: ForwardRefusal) -> Self {
+        Self {
+            refusal,
+            telemetry: None,
+        }
+    }
+
+    fn unavailable(retry_after: Duration, telemetry: ForwardTelemetry) -> Self {
+        Self {
+            refusal: ForwardRefusal::Unavailable { retry_after },
+            telemetry: Some(telemetry),
+        }
+    }
+}
+
 impl Forwarder {
-    pub(crate) fn handle_request(
+    /// Admits or refuses a request. One whose quota is not known yet waits, and is admitted again once it is.
+    pub(crate) fn admit_request(
         &mut self,
         now: Timestamp,
-        caller: CallerKey,
-        (request, arrived_at): (Arc<ForwardRequest>, BootTime),
+        arrival: &Arrival,
+        charge: QuotaCharge,
         commands: &mut Vec<ForwardCommand>,
     ) {
-        let refuse = |refusal| ForwardCommand::Answer {
-            caller,
-            answer: ForwardAnswer::Refused(refusal),
+        let admission = match self.check_admission(now, arrival, commands) {
+            Ok(admission) => admission,
+            Err(rejection) => {
+                commands.extend(rejection.telemetry.map(ForwardCommand::Record));
+                return commands.push(ForwardCommand::Answer {
+                    caller: arrival.caller,
+                    answer: ForwardAnswer::Refused(rejection.refusal),
+                });
+            }
         };
+        // After the other refusals, so that a request which does not run is not charged.
+        let route = admission.table.route(admission.route);
+        if charge == QuotaCharge::Due
+            && !self.charge_quota(now, arrival, (&admission.identity, route), commands)
+        {
+            return;
+        }
+        self.start_flow(now, arrival, admission, commands);
+    }
+
+    /// Decides whether a request can be sent, but for its quota.
+    fn check_admission(
+        &mut self,
+        now: Timestamp,
+        arrival: &Arrival,
+        commands: &mut Vec<ForwardCommand>,
+    ) -> Result<Admission, Rejection> {
+        let (caller, request) = (arrival.caller, &arrival.request);
         let Some(table) = self.table.clone() else {
             let retry_after = NOT_READY_RETRY_AFTER;
-            return commands.push(refuse(ForwardRefusal::NotReady { retry_after }));
+            return Err(Rejection::unrecorded(ForwardRefusal::NotReady {
+                retry_after,
+            }));
         };
         let Some(index) = table.find(&request.host, request.path()) else {
-            return commands.push(refuse(ForwardRefusal::NoRoute));
+            return Err(Rejection::unrecorded(ForwardRefusal::NoRoute));
         };
         let route = table.route(index);
-        let caller_id = match self.identify_caller(&table, route, &request, arrived_at) {
-            Ok(caller_id) => caller_id,
-            Err((refusal, telemetry)) => {
-                commands.push(ForwardCommand::Record(telemetry));
-                return commands.push(refuse(refusal));
-            }
-        };
-        if let CallerIdentity::Workspace(workspace) = &caller_id.identity {
+        let IdentifiedCaller { identity, rank } = self.identify_caller(&table, route, arrival)?;
+        if let CallerIdentity::Workspace(workspace) = &identity {
             let workspace = Arc::clone(workspace);
             commands.push(ForwardCommand::CountForWorkspace { caller, workspace });
         }
-        let rank = caller_id.rank.unwrap_or(route.rank);
-        if let Some(digest) = self.quarantined_digest(now, &request, &caller_id.identity) {
-            commands.push(ForwardCommand::Record(
-                ForwardTelemetry::RefusedQuarantined {
-                    request: Arc::clone(&request.id),
-                    digest,
-                },
-            ));
-            let retry_after = QUARANTINE_RETRY_AFTER;
-            return commands.push(refuse(ForwardRefusal::Unavailable { retry_after }));
+        let (request_id, route_name) = (|| Arc::clone(&request.id), || Arc::clone(&route.name));
+        if let Some(digest) = self.quarantined_digest(now, request, &identity) {
+            let request = request_id();
+            let telemetry = ForwardTelemetry::RefusedQuarantined { request, digest };
+            return Err(Rejection::unavailable(QUARANTINE_RETRY_AFTER, telemetry));
         }
         let shards = self.new_shards(route);
         if let Some(retry_after) = self.rest_of_all_replicas(now, route, &shards) {
-            commands.push(ForwardCommand::Record(ForwardTelemetry::RefusedResting {
-                request: Arc::clone(&request.id),
-                route: Arc::clone(&route.name),
+            let telemetry = ForwardTelemetry::RefusedResting {
+                request: request_id(),
+                route: route_name(),
                 retry_after,
-            }));
-            return commands.push(refuse(ForwardRefusal::Unavailable { retry_after }));
+            };
+            return Err(Rejection::unavailable(retry_after, telemetry));
         }
+        let rank = rank.unwrap_or(route.rank);
         if !self.fits_objective(now, route, rank, &shards) {
-            commands.push(ForwardCommand::Record(
-                ForwardTelemetry::RefusedOverloaded {
-                    request: Arc::clone(&request.id),
-                    route: Arc::clone(&route.name),
-                    rank,
-                },
-            ));
+            let telemetry = ForwardTelemetry::RefusedOverloaded {
+                request: request_id(),
+                route: route_name(),
+                rank,
+            };
             let retry_after = route.objective.mul_f64(RETRY_AFTER_OBJECTIVE_SHARE);
-            return commands.push(refuse(ForwardRefusal::Unavailable { retry_after }));
+            return Err(Rejection::unavailable(retry_after, telemetry));
         }
-        let margin = self.settings.answer_margin;
-        let wait = request.time_left.saturating_sub(margin).min(route.timeout);
-        let deadline = AnswerDeadline::new(now + wait, self.shutdown);
+        let wait = request
+            .time_left
+            .saturating_sub(self.settings.answer_margin);
+        let deadline = AnswerDeadline::new(now + wait.min(route.timeout), self.shutdown);
         if let Some(retry_after) = self.shutdown_refusal(now, route, deadline) {
-            commands.push(ForwardCommand::Record(ForwardTelemetry::RefusedStopping {
-                request: Arc::clone(&request.id),
-                route: Arc::clone(&route.name),
+            let telemetry = ForwardTelemetry::RefusedStopping {
+                request: request_id(),
+                route: route_name(),
                 time_left: deadline.at().since(now),
-            }));
-            return commands.push(refuse(ForwardRefusal::Unavailable { retry_after }));
+            };
+            return Err(Rejection::unavailable(retry_after, telemetry));
         }
+        Ok(Admission {
+            table,
+            route: index,
+            identity,
+            shards,
+            deadline,
+        })
+    }
+
+    /// Sends an admitted request to its shards.
+    fn start_flow(
+        &mut self,
+        now: Timestamp,
+        arrival: &Arrival,
+        admission: Admission,
+        commands: &mut Vec<ForwardCommand>,
+    ) {
+        let (caller, request) = (arrival.caller, Arc::clone(&arrival.request));
+        let route = admission.table.route(admission.route);
         let longest = self
             .longest_wait
             .entry(Arc::clone(&route.name))
@@ -105,23 +182,25 @@
         *longest = (*longest).max(request.time_left);
         // The objective counts from the caller's first attempt at this request.
         let waited = longest.saturating_sub(request.time_left);
-        let objective = route.objective.saturating_sub(waited + margin);
+        let objective = route
+            .objective
+            .saturating_sub(waited + self.settings.answer_margin);
         let flow = self.flows.insert(Flow {
             state: self.flow_chart.initial(),
             caller,
             started_at: now,
             accept_partial_at: now + objective,
-            deadline,
+            deadline: admission.deadline,
             accepts_partial: false,
-            shards,
+            shards: admission.shards,
             merge: new_merge(route),
             may_have_run: false,
             failure: None,
             reply: None,
             timer: None,
-            table: Arc::clone(&table),
-            route: index,
-            identity: caller_id.identity,
+            route: admission.route,
+            table: admission.table,
+            identity: admission.identity,
             request,
         });
         self.callers.insert(caller, flow);
@@ -137,9 +216,9 @@
         &self,
         table: &RoutingTable,
         route: &Route,
-        request: &ForwardRequest,
-        arrived_at: BootTime,
-    ) -> Result<IdentifiedCaller, (ForwardRefusal, ForwardTelemetry)> {
+        arrival: &Arrival,
+    ) -> Result<IdentifiedCaller, Rejection> {
+        let (request, arrived_at) = (&arrival.request, arrival.arrived_at);
         let depends_on_key = table.workspaces.is_some()
             && !route.public
             && matches!(request.credential, Credential::Key(_));
@@ -151,7 +230,7 @@
                 age: self.key_lease.age(arrived_at),
             };
             let retry_after = UNCONFIRMED_RETRY_AFTER;
-            return Err((ForwardRefusal::Unavailable { retry_after }, telemetry));
+            return Err(Rejection::unavailable(retry_after, telemetry));
         }
         identify(table, route, &request.credential).ok_or_else(|| {
             let telemetry = ForwardTelemetry::RefusedUnauthenticated {
@@ -160,7 +239,10 @@
                 credential: request.credential,
                 version: table.version,
             };
-            (ForwardRefusal::Unauthenticated, telemetry)
+            Rejection {
+                refusal: ForwardRefusal::Unauthenticated,
+                telemetry: Some(telemetry),
+            }
         })
     }
 
--- a/crates/core/tests/forwarding/main.rs
+++ b/crates/core/tests/forwarding/main.rs
@@ -8,6 +8,7 @@
 mod identification;
 mod notices;
 mod overload;
+mod quotas;
 mod replicas;
 mod schedules;
 mod shutdown;
--- a/crates/node/src/forward_log.rs
+++ b/crates/node/src/forward_log.rs
@@ -12,6 +12,7 @@
 }
 
 /// Logs one telemetry record. Complete answers are sampled; the metrics count all of them.
+#[expect(clippy::too_many_lines, reason = "one arm for each kind of record")]
 pub(crate) fn write_telemetry(log: &Logger, telemetry: &ForwardTelemetry) {
     match telemetry {
         ForwardTelemetry::ExtraAttempt {
@@ -55,6 +56,14 @@
             age,
         } => info!(log, "refused_unconfirmed"; "request" => &**request, "route" => &**route,
             "version" => *version, "confirmed_ms_ago" => age.map(|age| age.as_millis() as u64)),
+        ForwardTelemetry::RefusedOverQuota {
+            request,
+            workspace,
+            retry_after,
+            share,
+        } => write_over_quota(log, request, workspace, *retry_after, share),
+        // Counted by the metrics only.
+        ForwardTelemetry::WithinQuota { .. } => {}
         ForwardTelemetry::RequestQuarantined { digest, from_peer } => {
             warn!(log, "request_barred"; "digest" => %digest, "told" => *from_peer);
         }
@@ -134,3 +143,17 @@
         "service" => service.unwrap_or("none"), "kind" => notice.kind.name(),
         "left_ms" => left, "told" => from_peer, "age_ms" => notice.age.as_millis() as u64);
 }
+
+fn write_over_quota(
+    log: &Logger,
+    request: &str,
+    workspace: &str,
+    retry_after: Duration,
+    share: &QuotaShareStatus,
+) {
+    info!(log, "refused_over_quota"; "request" => request, "workspace" => workspace,
+        "retry_after_ms" => retry_after.as_millis() as u64,
+        "local_allowance" => share.local_allowance, "fleet_size" => share.fleet_size,
+        "owner" => share.is_owner,
+        "reply_age_ms" => share.reply_age.map(|age| age.as_millis() as u64));
+}
--- a/crates/node/src/forward_metrics.rs
+++ b/crates/node/src/forward_metrics.rs
@@ -1,21 +1,13 @@
 //! Prometheus metrics of forwarded requests.
 
-use crate::prelude::*;
+use crate::{prelude::*, workspace_labels::WorkspaceLabels};
 use prometheus::{HistogramOpts, HistogramVec, IntCounterVec, Opts, Registry};
-use std::collections::HashSet;
 
 /// Upper bounds of the histogram buckets for answer times, in seconds.
 const ANSWER_SECONDS_BUCKETS: [f64; 12] = [
     0.005, 0.01, 0.02, 0.04, 0.06, 0.08, 0.12, 0.25, 0.5, 1.0, 2.0, 5.0,
 ];
 
-/// Workspaces with label values of their own, in the order of their first answers. Each label value costs memory for the
-/// life of the process, and a configuration may name any number of workspaces.
-const MAX_WORKSPACE_LABELS: usize = 64;
-
-/// Label value of all further workspaces.
-const OTHER_WORKSPACES: &str = "other";
-
 /// Counters and histograms of forwarded requests, as shown at `/metrics`.
 #[derive(Clone, Debug)]
 pub struct ForwardMetrics {
@@ -26,8 +18,8 @@
     upstream_changes: IntCounterVec,
     notices: IntCounterVec,
     workspace_answers: IntCounterVec,
-    /// Workspaces with label values of their own; at most [`MAX_WORKSPACE_LABELS`].
-    labelled_workspaces: HashSet<Arc<str>>,
+    quota_decisions: IntCounterVec,
+    workspaces: WorkspaceLabels,
 }
 
 impl ForwardMetrics {
@@ -84,7 +76,12 @@
                 "Answers to the requests of a workspace, refusals included, by outcome",
                 &["workspace", "outcome"],
             )?,
-            labelled_workspaces: HashSet::new(),
+            quota_decisions: counter_by(
+                "medlarpost_forward_quota_decisions_total",
+                "Requests of workspaces, by workspace and by what their quota decided",
+                &["workspace", "decision"],
+            )?,
+            workspaces: WorkspaceLabels::default(),
         })
     }
 
@@ -95,22 +92,14 @@
 
     /// Counts an answer to a request of a workspace.
     pub(crate) fn record_workspace_answer(&mut self, workspace: &Arc<str>, outcome: &str) {
-        let has_room = self.labelled_workspaces.len() < MAX_WORKSPACE_LABELS;
-        if has_room && !self.labelled_workspaces.contains(workspace) {
-            self.labelled_workspaces.insert(Arc::clone(workspace));
-        }
-        let label = if self.labelled_workspaces.contains(workspace) {
-            workspace
-        } else {
-            OTHER_WORKSPACES
-        };
+        let workspace = self.workspaces.label(workspace);
         self.workspace_answers
-            .with_label_values(&[label, outcome])
+            .with_label_values(&[workspace, outcome])
             .inc();
     }
 
     /// Updates the metrics from a telemetry record.
-    pub(crate) fn record(&self, telemetry: &ForwardTelemetry) {
+    pub(crate) fn record(&mut self, telemetry: &ForwardTelemetry) {
         match telemetry {
             ForwardTelemetry::ExtraAttempt { cause, .. } => {
                 self.extra_attempts.with_label_values(&[*cause]).inc();
@@ -144,6 +133,13 @@
             ForwardTelemetry::RefusedUnconfirmed { .. } => {
                 self.given_up.with_label_values(&["unconfirmed"]).inc();
             }
+            ForwardTelemetry::RefusedOverQuota { workspace, .. } => {
+                self.count_quota_decision(workspace, "refused");
+            }
+            ForwardTelemetry::WithinQuota {
+                workspace,
+                decision,
+            } => self.count_quota_decision(workspace, decision),
             ForwardTelemetry::ShardGivenUp { cause, .. } => {
                 self.given_up.with_label_values(&[*cause]).inc();
             }
@@ -160,4 +156,11 @@
             | ForwardTelemetry::RequestQuarantined { .. } => {}
         }
     }
+
+    fn count_quota_decision(&mut self, workspace: &Arc<str>, decision: &str) {
+        let workspace = self.workspaces.label(workspace);
+        self.quota_decisions
+            .with_label_values(&[workspace, decision])
+            .inc();
+    }
 }
