Give a started node its share of the quotas once it finds no more members

What the delay guards against is a node that knows only a part of the fleet. Change: the share waits until no member has appeared for a moment and then grows within a second.

--- a/crates/core/src/quota_fleet.rs
+++ b/crates/core/src/quota_fleet.rs
@@ -18,6 +18,10 @@
 /// Silence limits after which the next node takes over the workspaces of one that is silent.
 const OWNER_SILENCES: u32 = 2;
 
+/// Time over which the share of a node that has started grows, once it finds no more members. Until then it may take itself
+/// for the owner of a workspace that has another one, or underestimate the fleet.
+const SETTLING_TIME: Duration = Duration::from_secs(1);
+
 /// Age of the last update up to which a node acts as an owner. After an interruption its view is outdated.
 const MAX_UPDATE_AGE: Duration = Duration::from_millis(2_500);
 
@@ -31,8 +35,10 @@
     /// Start of the process, or the end of the last interruption.
     started_at: Timestamp,
     updated_at: Timestamp,
-    /// Time over which the share of this node grows after its start.
-    fade_in: Duration,
+    /// When a new member last appeared.
+    grown_at: Timestamp,
+    /// Time after its start until which new members reduce this node's share.
+    starting_time: Duration,
     /// When each remembered member was last known to be alive.
     members: BTreeMap<SocketAddr, Timestamp>,
     /// Number of nodes, this one included; `None` until another one was heard of or there can be none.
@@ -55,14 +61,15 @@
 }
 
 impl QuotaFleet {
-    /// A view without other members at the start of the process. The node's share grows from nothing to the whole over
-    /// `fade_in`.
-    pub fn new(now: Timestamp, fade_in: Duration) -> Self {
+    /// A view without other members at the start of the process. The node's share is nothing at first. It grows to the
+    /// whole once no more members appear, at the latest within `starting_time`.
+    pub fn new(now: Timestamp, starting_time: Duration) -> Self {
         Self {
             own: None,
             started_at: now,
             updated_at: now,
-            fade_in,
+            grown_at: now,
+            starting_time,
             members: BTreeMap::new(),
             size: None,
             heard_shares: VecDeque::new(),
@@ -85,6 +92,9 @@
             if !members.keys().eq(self.members.keys()) {
                 self.orders.clear();
             }
+            if members.keys().any(|node| !self.members.contains_key(node)) {
+                self.grown_at = now;
+            }
             self.members = members;
         }
         let remembered = self.members.len() as u32 + 1;
@@ -190,8 +200,11 @@
         if self.size.is_none() {
             return 0.0;
         }
-        let age = now.since(self.started_at);
-        (age.as_secs_f64() / self.fade_in.as_secs_f64()).min(1.0)
+        if now.since(self.started_at) >= self.starting_time {
+            return 1.0;
+        }
+        let settled_for = now.since(self.grown_at.max(self.started_at));
+        (settled_for.as_secs_f64() / SETTLING_TIME.as_secs_f64()).min(1.0)
     }
 
     fn record_heard_share(&mut self, now: Timestamp) {
