Let workspaces take turns under overload

Cause: urgent workspaces can keep the queues of upstreams at the length at which all others are refused.

--- a/crates/core/src/forward_admission.rs
+++ b/crates/core/src/forward_admission.rs
@@ -57,6 +57,7 @@
             return commands.push(refuse(ForwardRefusal::Unauthenticated));
         };
         let rank = caller_id.rank.unwrap_or(route.rank);
+        let rank = self.rank_in_turn(&caller_id.identity, rank);
         if let Some(digest) = self.quarantined_digest(now, &request) {
             commands.push(ForwardCommand::Record(
                 ForwardTelemetry::RefusedQuarantined {
@@ -76,7 +77,9 @@
             }));
             return commands.push(refuse(ForwardRefusal::Unavailable { retry_after }));
         }
-        if !self.fits_objective(now, route, rank, &shards) {
+        let fits = self.fits_objective(now, route, rank, &shards);
+        self.record_turn(now, &caller_id.identity, fits);
+        if !fits {
             commands.push(ForwardCommand::Record(
                 ForwardTelemetry::RefusedOverloaded {
                     request: Arc::clone(&request.id),
@@ -94,14 +97,6 @@
         {
             return;
         }
-        let merge = match &route.target {
-            Target::Shards(target) => Some(ShardMerge {
-                records: RecordMerge::new(target.limit),
-                proofs: Vec::with_capacity(target.services.len()),
-                min_coverage: target.min_coverage,
-            }),
-            Target::Service(_) | Target::Split(_) => None,
-        };
         let longest = self
             .longest_wait
             .entry(Arc::clone(&route.name))
@@ -120,7 +115,7 @@
             deadline: now + wait,
             accepts_partial: false,
             shards,
-            merge,
+            merge: new_merge(&route.target),
             may_have_run: false,
             failure: None,
             reply: None,
@@ -137,6 +132,25 @@
         self.check_completion(now, flow, commands);
     }
 
+    /// Rank of a request under overload. Workspaces take turns: one that has been refused much more often than the others
+    /// is as urgent as any.
+    fn rank_in_turn(&self, identity: &CallerIdentity, rank: u32) -> u32 {
+        match identity {
+            CallerIdentity::Workspace(workspace)
+                if self.served_shares.is_underserved(workspace) =>
+            {
+                rank.min(MAX_URGENT_RANK)
+            }
+            _ => rank,
+        }
+    }
+
+    fn record_turn(&mut self, now: Timestamp, identity: &CallerIdentity, admitted: bool) {
+        if let CallerIdentity::Workspace(workspace) = identity {
+            self.served_shares.record(now, workspace, admitted);
+        }
+    }
+
     /// Digest of the request if it is quarantined.
     fn quarantined_digest(&mut self, now: Timestamp, request: &ForwardRequest) -> Option<Digest> {
         if self.quarantine.is_empty() {
@@ -276,6 +290,18 @@
     }
 }
 
+/// Merge of the records of a request to several shards; `None` for one to a single service.
+fn new_merge(target: &Target) -> Option<ShardMerge> {
+    match target {
+        Target::Shards(target) => Some(ShardMerge {
+            records: RecordMerge::new(target.limit),
+            proofs: Vec::with_capacity(target.services.len()),
+            min_coverage: target.min_coverage,
+        }),
+        Target::Service(_) | Target::Split(_) => None,
+    }
+}
+
 /// A caller as its key shows it.
 struct IdentifiedCaller {
     identity: CallerIdentity,
--- a/crates/core/src/forwarder.rs
+++ b/crates/core/src/forwarder.rs
@@ -9,6 +9,7 @@
     replica::Replica,
     reply_times::ReplyTimes,
     request_quarantine::RequestQuarantine,
+    served_shares::ServedShares,
     timers::Timers,
     upstream_notice::AbsentUpstreams,
 };
@@ -101,6 +102,8 @@
     pub(crate) split_credit: HashMap<Arc<str>, Vec<f64>>,
     /// Quotas of workspaces; `None` if they are not enforced.
     pub(crate) quotas: Option<WorkspaceQuotas>,
+    /// Service of each workspace under overload.
+    pub(crate) served_shares: ServedShares,
     /// Requests that wait for a reply about their quota, in the order of their arrival.
     pub(crate) parked: Vec<ParkedRequest>,
     /// When the requests that wait are decided again.
@@ -159,6 +162,7 @@
             longest_wait: HashMap::new(),
             split_credit: HashMap::new(),
             quotas,
+            served_shares: ServedShares::default(),
             parked: Vec::new(),
             parked_retry_at: Timestamp::ZERO,
             random,
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -93,6 +93,7 @@
 mod search_replies;
 mod search_sends;
 mod searches;
+mod served_shares;
 mod service_check;
 mod service_state;
 mod serving_check;
--- a/crates/core/tests/forwarding/main.rs
+++ b/crates/core/tests/forwarding/main.rs
@@ -10,3 +10,4 @@
 mod quotas;
 mod replicas;
 mod schedules;
+mod turns;
