--- a/crates/core/src/forward_admission.rs
+++ b/crates/core/src/forward_admission.rs
@@ -134,8 +134,10 @@
             };
             return Err(Rejection::unavailable(retry_after, telemetry));
         }
-        let rank = rank.unwrap_or(route.rank);
-        if !self.fits_objective(now, route, rank, &shards) {
+        let rank = self.rank_in_turn(&identity, rank.unwrap_or(route.rank));
+        let fits = self.fits_objective(now, route, rank, &shards);
+        self.record_turn(now, &identity, fits);
+        if !fits {
             let telemetry = ForwardTelemetry::RefusedOverloaded {
                 request: request_id(),
                 route: route_name(),
@@ -246,6 +248,25 @@
         })
     }
 
+    /// Rank of a request under overload. Workspaces take turns: one that has been refused much more often than the others
+    /// is as urgent as any.
+    fn rank_in_turn(&self, identity: &CallerIdentity, rank: u32) -> u32 {
+        match identity {
+            CallerIdentity::Workspace(workspace)
+                if self.served_shares.is_underserved(workspace) =>
+            {
+                rank.min(MAX_URGENT_RANK)
+            }
+            _ => rank,
+        }
+    }
+
+    fn record_turn(&mut self, now: Timestamp, identity: &CallerIdentity, admitted: bool) {
+        if let CallerIdentity::Workspace(workspace) = identity {
+            self.served_shares.record(now, workspace, admitted);
+        }
+    }
+
     /// Digest of the request if it is quarantined.
     fn quarantined_digest(
         &mut self,
--- a/crates/core/tests/forwarding/main.rs
+++ b/crates/core/tests/forwarding/main.rs
@@ -12,3 +12,4 @@
 mod replicas;
 mod schedules;
 mod shutdown;
+mod turns;
