Soak keys and their removal, and read on from the own revision

Cause: no long run had workspaces. Change: the soak's configurations give keys to workspaces, move and remove them, also behind the back of a node that is cut off; invariants Named and Revoked check what runs with which key.

--- a/crates/core/src/forward_admission.rs
+++ b/crates/core/src/forward_admission.rs
@@ -130,8 +130,8 @@
         self.check_completion(now, flow, commands);
     }
 
-    /// Who sends a request, or why it is refused. A key can't be judged by a configuration that has not been confirmed for
-    /// too long. A request without a key needs no judgement, and a public route is open whatever the key.
+    /// Who sends a request, or why it is refused. A configuration that has not been confirmed for too long decides about no
+    /// key. A request without a key does not depend on one, and a public route is open whatever the key.
     fn identify_caller(
         &self,
         table: &RoutingTable,
--- a/crates/core/src/key_lease.rs
+++ b/crates/core/src/key_lease.rs
@@ -1,4 +1,4 @@
-//! How long a node may accept API keys without a word from the registry that they are still valid.
+//! How long a node may accept API keys without a confirmation by the registry that they are still valid.
 
 use crate::prelude::*;
 
--- a/crates/medlarctl/src/lib.rs
+++ b/crates/medlarctl/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod run_record;
 pub mod soak_checks;
 pub mod soak_history;
+pub mod soak_keys;
 pub mod soak_observation;
 
 mod balancer;
--- a/crates/medlarctl/src/soak_caller.rs
+++ b/crates/medlarctl/src/soak_caller.rs
@@ -1,6 +1,7 @@
 //! Callers of a soak test. Each sends random requests and keeps its connection until the node closes it.
 
 use crate::{
+    soak_keys,
     soak_observation::{Observation, RequestKind, RequestOutcome, SentRequest, monotonic_micros},
     soak_options::SoakAddresses,
 };
@@ -91,6 +92,11 @@
     ) -> Option<(usize, Caller)> {
         let id = format!("c{}-{sent}", self.number);
         let (kind, line, body) = self.random_request(&id);
+        let versions = self.view.borrow().added_routes.clone();
+        let key = soak_keys::random_key(&mut self.random, &versions);
+        let authorization = key
+            .as_ref()
+            .map_or_else(String::new, |key| format!("Authorization: Token {key}\r\n"));
         let request = SentRequest {
             id: id.clone(),
             sent_at: monotonic_micros(),
@@ -98,10 +104,11 @@
             kind,
             request_line: line.clone(),
             body: body.clone(),
+            key,
         };
         self.report(Observation::RequestSent(request));
         let text = format!(
-            "{line} HTTP/1.1\r\nHost: search.example\r\nRequest-Id: {id}\r\nDeadline-Ms: {}\r\nContent-Length: {}\r\n\r\n{body}",
+            "{line} HTTP/1.1\r\nHost: search.example\r\nRequest-Id: {id}\r\nDeadline-Ms: {}\r\n{authorization}Content-Length: {}\r\n\r\n{body}",
             REQUEST_DEADLINE.as_millis(),
             body.len()
         );
--- a/crates/medlarctl/src/soak_checks.rs
+++ b/crates/medlarctl/src/soak_checks.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     soak_history::{PublishedConfiguration, SoakBounds, SoakHistory},
+    soak_keys,
     soak_observation::{
         Observation, RequestKind, RequestOutcome, RunReport, SentRequest, SoakTime,
     },
@@ -13,6 +14,9 @@
 /// begin a little after an answer that does not wait for it.
 const CHECK_DELAY: SoakTime = 3_000_000;
 
+/// Status of an answer to a request without a known key.
+const UNAUTHENTICATED: u16 = 401;
+
 /// One second, in microseconds.
 const SECOND: SoakTime = 1_000_000;
 
@@ -42,6 +46,10 @@
     ZoneOut,
     /// A configuration is in force after the apply bound.
     Configured,
+    /// A request runs for the workspace that holds its key, and upstreams never receive the key.
+    Named,
+    /// A removed or unknown key is refused on all nodes after the revocation bound, and one that holds is not.
+    Revoked,
     /// A planned stop, a reload or a configuration change cuts off no request.
     NothingCutOff,
     /// A cold upstream receives no more requests a second than its limit.
@@ -91,7 +99,7 @@
     pub sent: usize,
     /// Requests that were answered with a success.
     pub served: usize,
-    /// Requests that were refused as not run.
+    /// Requests that were refused as not run, those without a known key included.
     pub refused: usize,
     /// Requests that failed in another way, or got no answer.
     pub failed: usize,
@@ -189,7 +197,9 @@
                 Some((_, RequestOutcome::Answered(answer))) if answer.is_success() => {
                     counts.served += 1;
                 }
-                Some((_, RequestOutcome::Answered(answer))) if answer.guarantees_not_run() => {
+                Some((_, RequestOutcome::Answered(answer)))
+                    if answer.guarantees_not_run() || answer.status == UNAUTHENTICATED =>
+                {
                     counts.refused += 1;
                 }
                 // An abandoned request is neither served nor failed.
@@ -330,6 +340,11 @@
                     ),
                 );
             }
+            if let Some((invariant, detail)) =
+                soak_keys::check_run(&self.sent, run, history, bounds)
+            {
+                add(invariant, detail);
+            }
             if let Some(detail) = self.work_after_drain(run, history, bounds) {
                 add(Invariant::Drained, detail);
             }
@@ -344,6 +359,11 @@
         }
         match &self.outcome {
             Some((_, RequestOutcome::Answered(answer))) => {
+                if answer.status == UNAUTHENTICATED
+                    && let Some(detail) = soak_keys::refused_key(&self.sent, history, bounds)
+                {
+                    add(Invariant::Revoked, detail);
+                }
                 if once && runs > 0 && answer.guarantees_not_run() {
                     add(
                         Invariant::TrueRefusal,
--- a/crates/medlarctl/src/soak_fleet.rs
+++ b/crates/medlarctl/src/soak_fleet.rs
@@ -6,6 +6,7 @@
     soak_history::{
         Disturbance, InstanceRecord, PublishedConfiguration, SoakBounds, SoakHistory, TimeSpan,
     },
+    soak_keys,
     soak_observation::{SoakTime, monotonic_micros},
     soak_options::{SoakAddresses, SoakOptions},
     soak_process::SoakProcess,
@@ -49,11 +50,13 @@
 const ADDED_ROUTES_KEPT: usize = 2;
 
 /// Bounds in the settings of the nodes that differ from the defaults of the stand-in's settings.
-const SETTINGS_BOUNDS: [(&str, &str); 4] = [
+const SETTINGS_BOUNDS: [(&str, &str); 6] = [
     ("contactMs", "4000"),
     ("drainMs", "3000"),
     ("configApplyMs", "3000"),
     ("evacuateMs", "5000"),
+    ("strictRevoke", "true"),
+    ("revokeMs", "5000"),
 ];
 
 /// Bounds of the checks; they follow from [`SETTINGS_BOUNDS`] and the defaults of the stand-in's settings.
@@ -61,6 +64,7 @@
     store_contact: 4_000_000,
     drain: 3_000_000,
     config_apply: 3_000_000,
+    revoke: 5_000_000,
     evacuate: 5_000_000,
     recovery: 12_000_000,
     cold_requests_per_second: 20,
@@ -442,7 +446,9 @@
         }));
         let services = self.service_names();
         let services: Vec<&str> = services.iter().map(String::as_str).collect();
-        let value = configuration(version, &routes, &services, COLD_REQUESTS_PER_SECOND);
+        let mut value = configuration(version, &routes, &services, COLD_REQUESTS_PER_SECOND);
+        let key_holders = soak_keys::key_holders(version);
+        value["tenants"] = soak_keys::workspaces(&key_holders);
         let command =
             StoreCommand::Put(CONFIGURATION_KEY.to_owned(), value.to_string().into_bytes());
         self.send_store_command(&command).await;
@@ -451,6 +457,7 @@
             published_at: monotonic_micros(),
             added_routes,
             shard_services: names,
+            key_holders,
         });
     }
 
--- a/crates/medlarctl/src/soak_history.rs
+++ b/crates/medlarctl/src/soak_history.rs
@@ -1,6 +1,6 @@
 //! What a soak test did to its fleet, and when. The checks derive from it what was allowed at a given time.
 
-use crate::soak_observation::SoakTime;
+use crate::{soak_keys::KeyHolders, soak_observation::SoakTime};
 use std::collections::BTreeMap;
 
 /// Bounds that the settings of the nodes state. Times are in microseconds.
@@ -12,6 +12,8 @@
     pub drain: SoakTime,
     /// Time after which a published configuration must be in force.
     pub config_apply: SoakTime,
+    /// Time after which no node accepts a removed key.
+    pub revoke: SoakTime,
     /// Time after which the upstreams of a zone that is out must receive no more requests.
     pub evacuate: SoakTime,
     /// Time after the last disturbance by which requests must be served again.
@@ -74,6 +76,8 @@
     pub added_routes: Vec<u64>,
     /// Services that hold the shards of the query route.
     pub shard_services: Vec<String>,
+    /// Workspace that holds each key.
+    pub key_holders: KeyHolders,
 }
 
 /// Disturbances, instances, zone changes and configurations of one run.
--- a/crates/medlarctl/src/soak_observation.rs
+++ b/crates/medlarctl/src/soak_observation.rs
@@ -34,6 +34,8 @@
     pub request_line: String,
     /// Empty for all but bookings.
     pub body: String,
+    /// Key that it was sent with, if any.
+    pub key: Option<String>,
 }
 
 /// Outcome of a request for its caller.
@@ -65,6 +67,10 @@
     pub line: String,
     /// Body as it reached the upstream.
     pub body: String,
+    /// Workspace that the node named, if any.
+    pub workspace: Option<String>,
+    /// Whether the upstream received an `Authorization` field.
+    pub has_key: bool,
 }
 
 impl RunReport {
@@ -77,6 +83,8 @@
             stamp: run.stamp.clone(),
             line: run.method_and_target().to_owned(),
             body: run.body.clone(),
+            workspace: run.header("tenant"),
+            has_key: run.header("authorization").is_some(),
         }
     }
 }
--- a/crates/medlarctl/src/soak_run.rs
+++ b/crates/medlarctl/src/soak_run.rs
@@ -300,6 +300,8 @@
             SoakFault::StoreLink(node, fault, time) => {
                 let disturbance = self.fleet.begin_disturbance(node, Disturbance::Unplanned);
                 self.fleet.set_store_link_fault(node, fault);
+                // Removes a key behind the back of a node that is cut off.
+                self.fleet.publish_next_configuration(false).await;
                 self.schedule_end(time, FaultEnd::RestoreStoreLink(node, disturbance));
             }
             SoakFault::RefuseStoreCalls(time) => {
--- a/crates/medlarctl/src/soak_schedule.rs
+++ b/crates/medlarctl/src/soak_schedule.rs
@@ -13,6 +13,9 @@
 /// Duration of a fault, in milliseconds.
 const FAULT_DURATION_MS: std::ops::Range<u64> = 300..5_000;
 
+/// Factor on the duration of a fault between a node and the store, so that some last longer than the bound on revocation.
+const STORE_LINK_FACTOR: u32 = 2;
+
 /// Delay of a slowed link, in milliseconds.
 const LINK_DELAY_MS: std::ops::Range<u64> = 20..300;
 
@@ -60,7 +63,10 @@
         12 => SoakFault::RefuseStoreCalls(time),
         13 => SoakFault::PauseStore(time),
         14 => SoakFault::CompactStore,
-        15 => SoakFault::StoreLink(node, random_link_fault(random), time),
+        15 => {
+            let time = time * STORE_LINK_FACTOR;
+            SoakFault::StoreLink(node, random_link_fault(random), time)
+        }
         16 | 17 => SoakFault::UpstreamLink(upstream, random_link_fault(random), time),
         18 => SoakFault::PublishConfiguration,
         19 => SoakFault::Repartition,
--- a/crates/medlarctl/tests/soak_checks.rs
+++ b/crates/medlarctl/tests/soak_checks.rs
@@ -20,6 +20,7 @@
     store_contact: 4 * SECOND,
     drain: 3 * SECOND,
     config_apply: 3 * SECOND,
+    revoke: 5 * SECOND,
     evacuate: 5 * SECOND,
     recovery: 12 * SECOND,
     cold_requests_per_second: 3,
@@ -28,6 +29,10 @@
     extra_window: 10 * SECOND,
 };
 
+/// Key that requests are sent with, and the workspace that holds it.
+const KEY: &str = "key";
+const WORKSPACE: &str = "w-a";
+
 /// One node, one upstream of each of two shards and of the desk service, and one configuration. An upstream was
 /// disturbed until the requests, so that the recovery check does not apply.
 fn history() -> SoakHistory {
@@ -68,6 +73,7 @@
         published_at,
         added_routes: added_routes.to_vec(),
         shard_services: vec!["first-0".to_owned(), "first-1".to_owned()],
+        key_holders: [(KEY.to_owned(), WORKSPACE.to_owned())].into(),
     }
 }
 
@@ -79,6 +85,7 @@
         kind,
         request_line: format!("GET /x/{id}"),
         body: String::new(),
+        key: Some(KEY.to_owned()),
     })
 }
 
@@ -90,6 +97,8 @@
         stamp: format!("{instance}.{number}"),
         line: format!("GET /x/{id}"),
         body: String::new(),
+        workspace: Some(WORKSPACE.to_owned()),
+        has_key: false,
     })
 }
 
@@ -250,6 +259,8 @@
         stamp: "i-desk.1".to_owned(),
         line: "GET /other".to_owned(),
         body: String::new(),
+        workspace: Some(WORKSPACE.to_owned()),
+        has_key: false,
     });
     let altered = vec![
         sent("a", RequestKind::Read),
@@ -430,3 +441,66 @@
     let ends = history.zones_out.iter().map(|(_, span)| span.until);
     assert_eq!(ends.collect::<Vec<_>>(), [None, Some(2 * SECOND)]);
 }
+
+/// A history in which a configuration that was published at this time gives the key to another workspace, or to none.
+fn history_with_moved_key(published_at: SoakTime, holder: Option<&str>) -> SoakHistory {
+    let mut history = history();
+    let mut newer = configuration(2, published_at, &[1]);
+    newer.key_holders = holder
+        .map(|holder| (KEY.to_owned(), holder.to_owned()))
+        .into_iter()
+        .collect();
+    history.configurations.push(newer);
+    history
+}
+
+#[test]
+fn run_with_a_key_that_was_removed_is_found_after_the_bound_only() {
+    let observations = || {
+        vec![
+            sent("a", RequestKind::Read),
+            ran("a", "i-desk", 1, SENT_AT),
+            ended("a", desk_answer(1)),
+        ]
+    };
+    let removed = |at| violations(&history_with_moved_key(at, None), observations());
+
+    assert_eq!(removed(SENT_AT - 5 * SECOND), []);
+    assert_eq!(removed(SENT_AT - 5 * SECOND - 1), [Invariant::Revoked]);
+}
+
+#[test]
+fn run_for_another_workspace_or_with_the_key_is_found() {
+    let moved = history_with_moved_key(SECOND * 2, Some("w-b"));
+    let observations = |has_key| {
+        let mut run = ran("a", "i-desk", 1, SENT_AT);
+        if let Observation::RequestRan(report) = &mut run {
+            report.has_key = has_key;
+        }
+        vec![
+            sent("a", RequestKind::Read),
+            run,
+            ended("a", desk_answer(1)),
+        ]
+    };
+
+    assert_eq!(violations(&moved, observations(false)), [Invariant::Named]);
+    assert_eq!(
+        violations(&history(), observations(true)),
+        [Invariant::Named]
+    );
+}
+
+#[test]
+fn refusal_of_a_key_is_found_if_all_possible_configurations_have_it() {
+    let observations = || vec![sent("a", RequestKind::Read), ended("a", failure(401))];
+    let mut disturbed = history();
+    disturbed.node_disturbances[0].push(unplanned_disturbance(SENT_AT - SECOND, SENT_AT));
+    let removed = history_with_moved_key(SENT_AT - SECOND, None);
+
+    let found = violations(&history(), observations());
+
+    assert_eq!(found, [Invariant::Revoked]);
+    assert_eq!(violations(&disturbed, observations()), []);
+    assert_eq!(violations(&removed, observations()), []);
+}
--- a/crates/node/src/configuration_confirmation.rs
+++ b/crates/node/src/configuration_confirmation.rs
@@ -13,7 +13,7 @@
 
 /// Follows which reads show that the registry holds the configuration in force, and paces reads so that a sound registry
 /// confirms it in time.
-#[derive(Debug)]
+#[derive(Clone, Copy, Debug)]
 pub(crate) struct ConfigurationConfirmation {
     clock: BootClock,
     lease: KeyLease,
@@ -65,14 +65,19 @@
         self.held = HeldConfiguration::Unusable;
     }
 
-    /// Records that the documents that were applied last came from another node.
+    /// Records that reads continue from the revision of another node's snapshot.
     pub(crate) fn record_peer_snapshot(&mut self) {
         self.held = HeldConfiguration::Unread;
     }
 
+    /// Whether keys are accepted only while the configuration is confirmed.
+    pub(crate) fn is_required(&self) -> bool {
+        self.lease.duration().is_some()
+    }
+
     /// Whether the next read must be a listing: a watch would not show a configuration that has not changed.
     pub(crate) fn needs_listing(&self) -> bool {
-        self.lease.duration().is_some() && matches!(self.held, HeldConfiguration::Unread)
+        self.is_required() && matches!(self.held, HeldConfiguration::Unread)
     }
 
     /// Event for a read that shows the registry's configuration at time `at`; `None` if it has none that is known.
--- a/crates/node/src/registry_watcher.rs
+++ b/crates/node/src/registry_watcher.rs
@@ -263,8 +263,15 @@
     fn apply_peer_snapshot(&mut self, snapshot: Snapshot) {
         let current = snapshot.current;
         if snapshot.revision > self.items.borrow().revision() {
+            let (revision, confirmation) = (self.revision, self.confirmation);
             self.apply_listing(snapshot);
-            self.confirmation.record_peer_snapshot();
+            self.confirmation = confirmation;
+            if self.confirmation.is_required() {
+                // Nodes don't pass on a configuration that they can't read. Changes since this node's own last read show it.
+                self.revision = revision;
+            } else {
+                self.confirmation.record_peer_snapshot();
+            }
         }
         if current {
             self.deregister_expired();
