Decide in core how the registry is read and which entries count

The stages between a removal and the last request to the upstream were constants in three files whose sum exceeded the bounds.

--- a/crates/core/src/prelude.rs
+++ b/crates/core/src/prelude.rs
@@ -17,6 +17,7 @@
     engine::{Engine, EngineSettings, PolicyMode},
     engine_statistics::EngineStatistics,
     engine_status::{EngineStatus, RunningStatus, UpstreamStatus, ZoneStatus},
+    entry_history::{EntryConflict, EntryHistories},
     envelope::{Approved, ApprovedBundle, Envelope, Owners, Unverified},
     envelope_error::{self, EnvelopeError},
     event::{
@@ -44,6 +45,9 @@
     node_chart::{NodeAction, NodeEvent, NodeMachine, NodeState},
     refusal::{Execution, Refusal, RefusalKind},
     registered_upstream::RegisteredUpstream,
+    registry_bounds::{RegistryBounds, RegistryLimits},
+    registry_contact::{RegistryContact, WatchTimes},
+    registry_contact_chart::{RegistryContactEvent, RegistryState},
     replica_chart::{ReplicaAction, ReplicaEvent, ReplicaGuard, ReplicaMachine, ReplicaState},
     routing::{
         CallerLimits, Route, RouteIndex, RoutingTable, ServiceSettings, ShardTarget, Target,
@@ -52,6 +56,7 @@
     snapshot::{PublishedItem, Snapshot, SnapshotRequest},
     timestamp::Timestamp,
     upstream_notice::{NoticeKind, UpstreamNotice},
+    upstream_registration::UpstreamRegistration,
     validation_error::{ValidationCode, ValidationError},
     workspace_settings::{
         CallerIdentity, Credential, Quota, WorkspaceIndex, WorkspaceSettings, Workspaces,
--- /dev/null
+++ b/crates/core/src/registry_bounds.rs
@@ -0,0 +1,120 @@
+//! Time limits of the stages between a change in the registry and the moment at which a node acts on it.
+
+use crate::prelude::*;
+
+/// Shortest bound that the limits are derived from. Shorter ones would let a node read the registry without a pause.
+const MIN_BOUND: Duration = Duration::from_millis(100);
+
+/// Longest time that a read takes while the registry works.
+const MAX_READ_TIME: Duration = Duration::from_millis(300);
+
+/// Longest time beyond the wait of a watch after which its reply counts as lost.
+const MAX_REPLY_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Longest first delay after a failed read.
+const MAX_FIRST_RETRY_DELAY: Duration = Duration::from_millis(100);
+
+/// Longest time limit of a call after a failed one, and longest delay between such calls.
+const MAX_RETRY_TIME: Duration = Duration::from_secs(1);
+
+/// Longest time for which entries that expired during an outage are kept. Upstreams renew them within 2 s, and the
+/// next read needs a little more.
+const MAX_GRACE: Duration = Duration::from_millis(2_300);
+
+/// Bounds within which a node must act on what the registry publishes.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct RegistryBounds {
+    /// Time after the end of a disturbance within which the other bounds must hold again.
+    pub contact: Duration,
+    /// Time after which an upstream that is leaving or gone must get no requests.
+    pub drain: Duration,
+    /// Time within which a configuration must be in force.
+    pub config_apply: Duration,
+    /// Time after which an evacuated zone must get no requests.
+    pub evacuate: Duration,
+}
+
+/// Limits of the stages. Each sequence of stages that a change can pass through ends before its bound.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct RegistryLimits {
+    /// Longest wait of one watch.
+    pub max_wait: Duration,
+    /// Time beyond the wait of a watch after which its reply counts as lost.
+    pub reply_timeout: Duration,
+    /// Time limit of a listing's page, and of each call between a failed read and the next successful one.
+    pub call_timeout: Duration,
+    /// Delay after the first failed read; doubles with each further one.
+    pub first_retry_delay: Duration,
+    /// Longest delay after a failed read.
+    pub max_retry_delay: Duration,
+    /// Pause between watches. It batches changes, so that many of them cost few reads.
+    pub interval: Duration,
+    /// Time after the end of an outage for which missing entries are kept.
+    pub recovery_grace: Duration,
+    /// Time for which entries are kept that vanish together although no outage was seen.
+    pub lapse_grace: Duration,
+    /// Time from the last read before a failed one after which no entry that has vanished since is kept.
+    pub vanished_limit: Duration,
+    /// Time that a read takes while the registry works.
+    pub read_time: Duration,
+    /// Time left for requests that were on their way when the node acted.
+    pub in_flight: Duration,
+}
+
+impl RegistryBounds {
+    /// The tightest of all bounds.
+    pub fn tightest(&self) -> Duration {
+        self.tightest_change().min(self.contact()).max(MIN_BOUND)
+    }
+
+    /// The tightest bound for a change that an undisturbed node reads.
+    pub fn tightest_change(&self) -> Duration {
+        self.drain
+            .min(self.config_apply)
+            .min(self.evacuate)
+            .max(MIN_BOUND)
+    }
+
+    fn contact(&self) -> Duration {
+        self.contact.max(MIN_BOUND)
+    }
+
+    /// Limits of the stages for these bounds.
+    pub fn limits(&self) -> RegistryLimits {
+        let (tightest, contact) = (self.tightest(), self.contact());
+        let tenth = tightest / 10;
+        let in_flight = tenth;
+        let read_time = tenth.min(MAX_READ_TIME);
+        let reply_timeout = tenth.min(MAX_REPLY_TIMEOUT);
+
+        // A watch whose reply is lost delays a change by the pause before it, its whole wait and these stages.
+        let first_retry_delay = (tightest / 30).min(MAX_FIRST_RETRY_DELAY);
+        let after_wait = reply_timeout + first_retry_delay + read_time + in_flight;
+        let interval =
+            (self.tightest_change() / 5).min(contact.saturating_sub(contact / 2 + after_wait));
+        let max_wait = (contact / 2).min(contact.saturating_sub(interval + after_wait));
+
+        // A call that began just before the end of an outage uses up its time limit; a delay, a read and the grace
+        // period follow.
+        let recovery = contact.saturating_sub(read_time + in_flight);
+        let recovery_grace = (recovery * 7 / 10).min(MAX_GRACE);
+        let retry = recovery.saturating_sub(recovery_grace);
+
+        let max_retry_delay = (retry * 2 / 5).min(MAX_RETRY_TIME);
+        // The last fifth is for a read and for requests on their way.
+        let lapse_grace = (self.tightest_change() * 4 / 5).saturating_sub(interval);
+        RegistryLimits {
+            max_wait,
+            reply_timeout,
+            call_timeout: (retry * 3 / 5).min(MAX_RETRY_TIME),
+            first_retry_delay: first_retry_delay.min(max_retry_delay),
+            max_retry_delay,
+            interval,
+            recovery_grace,
+            lapse_grace: lapse_grace.min(MAX_GRACE),
+            vanished_limit: contact.saturating_sub(in_flight),
+            read_time,
+            in_flight,
+        }
+    }
+}
