Bound the time until a removed upstream gets no requests

Each failed read, a cut watch included, began a new grace period, and a lost reply was noticed a second after a wait of half the contact time. The watcher now goes by RegistryContact: only repeated failed reads are an outage, an entry's grace never moves later, a call has one time limit for head and body, and other nodes are asked within the retry delay rather than before it.

An entry that is incomplete, or names another service without a new start, names no upstream; it is counted, and logged once for each key with its field.

--- a/crates/node/src/forward_metrics.rs
+++ b/crates/node/src/forward_metrics.rs
@@ -17,6 +17,7 @@
     given_up: IntCounterVec,
     upstream_changes: IntCounterVec,
     notices: IntCounterVec,
+    refused_entries: IntCounterVec,
 }
 
 impl ForwardMetrics {
@@ -68,9 +69,19 @@
                 "Notices that an upstream is leaving or wants no requests, by kind and by who told this node",
                 &["kind", "source"],
             )?,
+            refused_entries: counter(
+                "medlarpost_forward_refused_entries_total",
+                "Registry entries that were not used, by the field that is missing, unusable or in conflict",
+                "field",
+            )?,
         })
     }
 
+    /// Counts a registry entry that was not used, by the field at fault.
+    pub(crate) fn record_refused_entry(&self, field: &str) {
+        self.refused_entries.with_label_values(&[field]).inc();
+    }
+
     /// Counts an attempt that ended, by outcome.
     pub(crate) fn record_attempt_end(&self, outcome: &str) {
         self.attempts.with_label_values(&[outcome]).inc();
--- a/crates/node/src/forward_node.rs
+++ b/crates/node/src/forward_node.rs
@@ -9,7 +9,7 @@
     member_task::{self, MemberChannels},
     prelude::*,
     registry::Registry,
-    registry_watcher::{RegistryWatcher, WatchSettings},
+    registry_watcher::RegistryWatcher,
     reply_memory::ReplyMemory,
     snapshot_exchange,
 };
@@ -44,8 +44,8 @@
     pub membership: MembershipSettings,
     /// Zone of this node, and the limits of the forwarder.
     pub forwarder: ForwarderSettings,
-    /// How the registry is watched.
-    pub watch: WatchSettings,
+    /// Limits of the stages in which the registry is read.
+    pub registry: RegistryLimits,
     /// Memory that the replies of upstreams may hold together while they are read, in bytes.
     pub reply_memory_bytes: usize,
     /// Time after a failed readiness check for which the balancer may still send new connections.
@@ -70,7 +70,7 @@
     forward: ForwardSender,
     phase: watch::Sender<ListenerPhase>,
     ready: watch::Sender<Readiness>,
-    watch_settings: watch::Sender<WatchSettings>,
+    registry_limits: watch::Sender<RegistryLimits>,
     open_connections: mpsc::Receiver<std::convert::Infallible>,
     /// Names of essential tasks that have ended by a panic.
     failed_tasks: mpsc::UnboundedReceiver<&'static str>,
@@ -156,7 +156,7 @@
             clock,
             config: config.clone(),
             reply_memory: ReplyMemory::new(settings.reply_memory_bytes),
-            metrics,
+            metrics: metrics.clone(),
             log: log.clone(),
             limits,
             ready: ready.clone(),
@@ -167,14 +167,16 @@
         spawn_essential("forward", forward_task, &failures);
         let membership = Membership::new(settings.membership.clone());
         let (contacts, contacts_rx) = watch::channel(membership.contacts());
-        let (watch_settings, watch_settings_rx) = watch::channel(settings.watch);
+        let (registry_limits, registry_limits_rx) = watch::channel(settings.registry);
         let watcher = RegistryWatcher::new(
             registry,
-            watch_settings_rx,
+            registry_limits_rx,
             forward.clone(),
             contacts_rx,
+            metrics.clone(),
             log.clone(),
-        );
+        )
+        .context(node_error::ChartSnafu)?;
         let snapshots = snapshot_exchange::serve(bound.snapshots, watcher.items(), log.clone());
         spawn_essential("snapshots", snapshots, &failures);
         spawn_essential("registry", watcher.run(), &failures);
@@ -216,7 +218,7 @@
                 forward,
                 phase,
                 ready,
-                watch_settings,
+                registry_limits,
                 open_connections,
                 failed_tasks,
             },
@@ -230,7 +232,7 @@
         info!(self.log, "settings_reloaded"; "zone" => &*settings.forwarder.zone);
         self.settings.balancer_lag = settings.balancer_lag;
         self.settings.stop_within = settings.stop_within;
-        self.phase.watch_settings.send_replace(settings.watch);
+        self.phase.registry_limits.send_replace(settings.registry);
         let limits = ForwardEvent::LimitsChanged(settings.forwarder.limits);
         // The receiver ends only with the process.
         let _ended = self.phase.forward.send(ForwardMessage::Event(limits));
--- a/crates/node/src/registry.rs
+++ b/crates/node/src/registry.rs
@@ -4,14 +4,14 @@
 
 /// A registry whose items can be listed and watched. An implementation parses them; it makes no decisions.
 pub trait Registry: 'static {
-    /// Reads all items and the revision at which they were read.
-    fn list(&self) -> impl Future<Output = Result<Snapshot, RegistryError>>;
+    /// Reads all items and the revision at which they were read. Each call that this takes fails after `timeout`.
+    fn list(&self, timeout: Duration) -> impl Future<Output = Result<Snapshot, RegistryError>>;
 
-    /// Waits up to `wait` for changes after the revision `after`.
+    /// Waits for changes after the revision `after`.
     fn watch(
         &self,
         after: u64,
-        wait: Duration,
+        times: WatchTimes,
     ) -> impl Future<Output = Result<Changes, RegistryError>>;
 
     /// Parses an item, from the registry or from another node's snapshot. `None` if the key is not one that nodes use.
@@ -47,11 +47,13 @@
     /// A zone that operators have evacuated.
     EvacuatedZone(Arc<str>),
     /// Registration of an upstream.
-    Upstream(RegisteredUpstream),
+    Upstream(UpstreamRegistration),
     /// An invalid registration, which is handled like a removed one.
     UnreadableUpstream {
         /// Instance that the key names.
         instance: Arc<str>,
+        /// Field that is missing or invalid, or `entry` if the value is no entry at all.
+        field: &'static str,
         /// What is invalid.
         reason: String,
     },
@@ -81,6 +83,9 @@
     /// A reply exceeds the size limit. If it was that of a watch, a listing gets the state in pages.
     #[snafu(display("a reply of the registry exceeds the size limit"))]
     TooLarge,
+    /// The connection was closed before a reply began, as happens to watches while they wait.
+    #[snafu(display("the registry closed the connection of a call"))]
+    Cut,
     /// The registry did not reply, or it replied with an error that may pass.
     #[snafu(display("registry unavailable: {reason}"))]
     Unavailable {
--- a/crates/node/src/registry_watcher.rs
+++ b/crates/node/src/registry_watcher.rs
@@ -1,6 +1,7 @@
 //! The task that follows a registry and sends its changes to the forward task.
 
 use crate::{
+    forward_metrics::ForwardMetrics,
     forward_task::{ForwardMessage, ForwardSender},
     known_items::KnownItems,
     prelude::*,
@@ -10,49 +11,23 @@
 use std::collections::{BTreeSet, HashSet};
 use tokio::time::Instant;
 
-/// First delay after a failed read; doubled after each further failure.
-const INITIAL_RETRY_DELAY: Duration = Duration::from_millis(100);
-
-/// Longest delay after failed reads.
-const MAX_RETRY_DELAY: Duration = Duration::from_secs(1);
-
 /// Longest delay after failed reads while the node has read nothing and so can't answer any request.
 const MAX_RETRY_DELAY_BEFORE_FIRST_READ: Duration = Duration::from_millis(200);
 
-/// Wait of the first watch after a failure. It is short so that a return of the registry is noticed soon: if a long
-/// watch got lost as well, the return would go unnoticed for as long as that watch waits.
-const RECOVERY_PROBE_WAIT: Duration = Duration::from_millis(100);
+/// Time limit of a call while the node has read nothing. No bound applies to a node that can't answer any request.
+const CALL_TIMEOUT_BEFORE_FIRST_READ: Duration = Duration::from_secs(1);
 
 /// Time that the first listing may take before other nodes are asked too, and the pause between such attempts.
 const PEER_FALLBACK_DELAY: Duration = Duration::from_millis(200);
 
-/// Longest interval between watches while lapsed entries may return after a failure or a start.
-const RECOVERY_INTERVAL: Duration = Duration::from_millis(250);
-
-/// Number and share of entries above which removals in one read count as lapsed leases: both must be exceeded.
-const MASS_LAPSE_THRESHOLD: (usize, f64) = (2, 0.1);
-
-/// How the registry is watched.
-#[derive(Clone, Copy, Debug)]
-pub struct WatchSettings {
-    /// Longest wait of one watch. A dead connection is noticed a little later than this.
-    pub max_wait: Duration,
-    /// Pause between watches. It batches changes, so that many of them cost few reads.
-    pub interval: Duration,
-    /// Time after the registry's return within which entries that lapsed during its failure are renewed.
-    pub recovery_grace: Duration,
-    /// Time for which entries that vanish together are kept although no read failed. With the interval and the time of
-    /// a read it must stay below the bound for upstreams that are gone.
-    pub lapse_grace: Duration,
-}
-
 /// Follows a registry, and falls back to the snapshots of other nodes while it fails.
 #[derive(Debug)]
 pub struct RegistryWatcher<R> {
     registry: R,
     /// Read anew before each use, because it can change.
-    settings: watch::Receiver<WatchSettings>,
+    limits: watch::Receiver<RegistryLimits>,
     forward: ForwardSender,
+    metrics: ForwardMetrics,
     log: Logger,
     /// Nodes to ask for a snapshot while the registry fails.
     contacts: watch::Receiver<Vec<SocketAddr>>,
@@ -61,42 +36,59 @@
     /// Key of each registered instance's item, by instance.
     entry_keys: HashMap<Arc<str>, Arc<str>>,
     evacuated_zones: BTreeSet<Arc<str>>,
-    /// Instances whose entries disappeared and may return, with the end of each one's grace period.
-    missing: HashMap<Arc<str>, Instant>,
-    /// End of the grace period after the registry's return.
-    recovery_until: Instant,
+    /// Instances whose entries disappeared and may return, with the end of each one's grace period. It is never moved
+    /// later.
+    missing: HashMap<Arc<str>, Timestamp>,
+    histories: EntryHistories,
+    contact: RegistryContact,
+    /// Origin of the timestamps.
+    started: Instant,
     /// Revision to watch from; `None` before the first listing and after the history was lost.
     revision: Option<u64>,
-    failing: bool,
 }
 
 impl<R: Registry> RegistryWatcher<R> {
     /// A watcher that has read nothing yet. `contacts` are nodes to ask for a snapshot while the registry fails.
+    ///
+    /// # Errors
+    ///
+    /// If an embedded state chart is invalid.
     pub fn new(
         registry: R,
-        settings: watch::Receiver<WatchSettings>,
+        limits: watch::Receiver<RegistryLimits>,
         forward: ForwardSender,
         contacts: watch::Receiver<Vec<SocketAddr>>,
+        metrics: ForwardMetrics,
         log: Logger,
-    ) -> Self {
-        Self {
+    ) -> Result<Self, ChartError> {
+        Ok(Self {
             registry,
-            settings,
+            limits,
             forward,
+            metrics,
             log,
             contacts,
             items: watch::Sender::default(),
             entry_keys: HashMap::new(),
             evacuated_zones: BTreeSet::new(),
             missing: HashMap::new(),
-            recovery_until: Instant::now(),
+            histories: EntryHistories::default(),
+            contact: RegistryContact::new(Timestamp::ZERO)?,
+            started: Instant::now(),
             revision: None,
-            failing: false,
-        }
+        })
+    }
+
+    fn limits(&self) -> RegistryLimits {
+        *self.limits.borrow()
     }
 
-    fn settings(&self) -> WatchSettings {
-        *self.settings.borrow()
+    fn now(&self) -> Timestamp {
+        Timestamp::ZERO + self.started.elapsed()
+    }
+
+    fn instant(&self, at: Timestamp) -> Instant {
+        self.started + at.since(Timestamp::ZERO)
     }
 
     /// Items that this node passes on to others.
@@ -106,12 +98,12 @@
 
     /// Follows the registry for the life of the process.
     pub async fn run(mut self) {
-        let mut retry_delay = INITIAL_RETRY_DELAY;
         loop {
+            let sent = self.now();
             let wait = match self.read_registry().await {
                 Ok(()) => {
-                    retry_delay = INITIAL_RETRY_DELAY;
-                    self.poll_interval()
+                    let any_missing = !self.missing.is_empty();
+                    self.contact.pause(self.now(), any_missing, &self.limits())
                 }
                 Err(fault @ (RegistryError::HistoryLost | RegistryError::TooLarge))
                     if self.revision.is_some() =>
@@ -122,36 +114,58 @@
                 }
                 Err(fault) => {
                     self.record_failure(&fault);
-                    if let Some(snapshot) = self.ask_contact().await {
-                        self.apply_peer_snapshot(snapshot);
-                    }
-                    let delay = retry_delay;
-                    retry_delay = (retry_delay * 2).min(MAX_RETRY_DELAY);
-                    if self.entry_keys.is_empty() {
-                        delay.min(MAX_RETRY_DELAY_BEFORE_FIRST_READ)
-                    } else {
-                        delay
-                    }
+                    let elapsed = self.now().since(sent);
+                    self.ask_contact_during(self.retry_delay(elapsed)).await
                 }
             };
             self.sleep(wait).await;
         }
     }
 
+    fn retry_delay(&self, elapsed: Duration) -> Duration {
+        let delay = self.contact.retry_delay(elapsed, &self.limits());
+        if self.entry_keys.is_empty() {
+            delay.min(MAX_RETRY_DELAY_BEFORE_FIRST_READ)
+        } else {
+            delay
+        }
+    }
+
+    fn call_timeout(&self) -> Duration {
+        if self.entry_keys.is_empty() {
+            CALL_TIMEOUT_BEFORE_FIRST_READ
+        } else {
+            self.limits().call_timeout
+        }
+    }
+
+    /// Asks another node during an outage, for no longer than the delay before the next read. Returns what is left of
+    /// the delay.
+    async fn ask_contact_during(&mut self, delay: Duration) -> Duration {
+        let until = Instant::now() + delay;
+        if self.contact.state() == RegistryState::Away || self.entry_keys.is_empty() {
+            let answer = tokio::time::timeout_at(until, self.ask_contact()).await;
+            if let Ok(Some(snapshot)) = answer {
+                self.apply_peer_snapshot(snapshot);
+            }
+        }
+        until.saturating_duration_since(Instant::now())
+    }
+
     /// Waits before the next read. Entries whose grace period ends meanwhile are deregistered at its end, unless the
-    /// registry fails: they may have returned unseen.
+    /// last read failed: they may have returned unseen.
     async fn sleep(&mut self, wait: Duration) {
-        let until = Instant::now() + wait;
+        let until = self.now() + wait;
         while let Some(end) = self.next_grace_end().filter(|end| *end < until)
-            && !self.failing
+            && self.contact.state() == RegistryState::Steady
         {
-            tokio::time::sleep_until(end).await;
+            tokio::time::sleep_until(self.instant(end)).await;
             self.deregister_expired();
         }
-        tokio::time::sleep_until(until).await;
+        tokio::time::sleep_until(self.instant(until)).await;
     }
 
-    fn next_grace_end(&self) -> Option<Instant> {
+    fn next_grace_end(&self) -> Option<Timestamp> {
         self.missing.values().copied().min()
     }
 
@@ -159,13 +173,16 @@
         match self.revision {
             None if self.entry_keys.is_empty() => self.first_read().await?,
             None => {
-                let listing = self.registry.list().await?;
+                let listing = self.registry.list(self.call_timeout()).await?;
                 self.record_success();
                 self.apply_listing(listing);
             }
             Some(revision) => {
-                let wait = self.watch_wait();
-                let changes = self.registry.watch(revision, wait).await?;
+                let grace_end = self.next_grace_end();
+                let times = self
+                    .contact
+                    .watch_times(self.now(), grace_end, &self.limits());
+                let changes = self.registry.watch(revision, times).await?;
                 self.record_success();
                 self.apply_changes(changes);
             }
@@ -177,7 +194,7 @@
     /// Reads the registry for the first time, or takes another node's snapshot if that arrives first.
     async fn first_read(&mut self) -> Result<(), RegistryError> {
         tokio::select! {
-            listing = self.registry.list() => {
+            listing = self.registry.list(self.call_timeout()) => {
                 let listing = listing?;
                 self.record_success();
                 self.apply_listing(listing);
@@ -226,8 +243,8 @@
         }
     }
 
-    /// Applies another node's snapshot if it is newer. Entries that are missing from it have the grace period to
-    /// return; they are deregistered only if the other node currently reads the registry.
+    /// Applies another node's snapshot if it is newer. Entries whose grace period has ended are deregistered only if the
+    /// other node currently reads the registry.
     fn apply_peer_snapshot(&mut self, snapshot: Snapshot) {
         let current = snapshot.current;
         if snapshot.revision > self.items.borrow().revision() {
@@ -238,43 +255,32 @@
         }
     }
 
-    fn poll_interval(&self) -> Duration {
-        let may_return = !self.missing.is_empty() || Instant::now() < self.recovery_until;
-        if may_return {
-            self.settings().interval.min(RECOVERY_INTERVAL)
-        } else {
-            self.settings().interval
-        }
-    }
-
-    /// Wait of the next watch: short after a failure, and no longer than the grace period of a missing entry.
-    fn watch_wait(&self) -> Duration {
-        if self.failing {
-            return RECOVERY_PROBE_WAIT;
-        }
-        let Some(end) = self.next_grace_end() else {
-            return self.settings().max_wait;
-        };
-        let left = end.saturating_duration_since(Instant::now());
-        left.min(self.settings().max_wait)
-    }
-
     fn record_failure(&mut self, fault: &RegistryError) {
-        if !self.failing {
+        let event = match fault {
+            RegistryError::Cut => RegistryContactEvent::Cut,
+            _ => RegistryContactEvent::Failed,
+        };
+        let change = self.contact.apply(self.now(), event, &self.limits());
+        if change == Some(RegistryState::Away) {
             warn!(self.log, "registry_lost"; "fault" => %fault, "revision" => self.revision);
+        } else {
+            debug!(self.log, "registry_read_failed"; "fault" => %fault, "revision" => self.revision);
+        }
+        if event == RegistryContactEvent::Failed {
+            self.items.send_modify(|items| items.set_current(false));
         }
-        self.failing = true;
-        self.items.send_modify(|items| items.set_current(false));
     }
 
     fn record_success(&mut self) {
         self.items.send_modify(|items| items.set_current(true));
-        if self.failing {
+        let before = self.contact.state();
+        self.contact
+            .apply(self.now(), RegistryContactEvent::Read, &self.limits());
+        if before == RegistryState::Away {
             info!(self.log, "registry_regained"; "revision" => self.revision);
-            self.failing = false;
-            self.recovery_until = Instant::now() + self.settings().recovery_grace;
+            let latest = self.contact.recovery_until();
             for end in self.missing.values_mut() {
-                *end = self.recovery_until.max(*end);
+                *end = latest.min(*end);
             }
         }
     }
@@ -282,6 +288,7 @@
     fn apply_listing(&mut self, listing: Snapshot) {
         self.record_revision(listing.revision);
         let mut seen = HashSet::new();
+        let mut unreadable = HashSet::new();
         let mut keys = HashSet::new();
         let mut evacuated_zones = BTreeSet::new();
         for item in listing.items {
@@ -290,7 +297,10 @@
             };
             match &document {
                 RegistryDocument::Upstream(entry) => {
-                    seen.insert(Arc::clone(&entry.instance));
+                    seen.insert(Arc::clone(&entry.upstream.instance));
+                }
+                RegistryDocument::UnreadableUpstream { instance, .. } => {
+                    unreadable.insert(Arc::clone(instance));
                 }
                 RegistryDocument::EvacuatedZone(zone) => {
                     evacuated_zones.insert(Arc::clone(zone));
@@ -314,6 +324,8 @@
             self.handle_missing_entry(instance, grace_until);
         }
         self.items.send_modify(|items| items.retain(&keys));
+        seen.extend(unreadable);
+        self.histories.retain(&seen);
     }
 
     fn apply_changes(&mut self, changes: Changes) {
@@ -338,21 +350,14 @@
         }
     }
 
-    /// End of the grace period of entries of which so many disappear in one read. If they are many, the registry may
-    /// have failed between two reads, and their leases may have expired meanwhile.
-    fn grace_end(&self, gone: usize) -> Instant {
-        let (count, share) = MASS_LAPSE_THRESHOLD;
-        if gone <= count || gone as f64 <= share * self.entry_keys.len() as f64 {
-            return self.recovery_until;
+    /// End of the grace period of entries of which so many disappear in one read.
+    fn grace_end(&self, gone: usize) -> Timestamp {
+        let known = self.entry_keys.len();
+        if RegistryContact::is_mass_lapse(gone, known) {
+            warn!(self.log, "entries_vanished_together"; "gone" => gone, "known" => known);
         }
-        warn!(self.log, "entries_vanished_together"; "gone" => gone, "known" => self.entry_keys.len());
-        // While reads fail, a peer's snapshot shows what vanished; the registry's return comes after that.
-        let grace = if self.failing {
-            self.settings().recovery_grace
-        } else {
-            self.settings().lapse_grace
-        };
-        self.recovery_until.max(Instant::now() + grace)
+        self.contact
+            .grace_end(self.now(), gone, known, &self.limits())
     }
 
     fn record_revision(&mut self, revision: u64) {
@@ -361,9 +366,10 @@
             .send_modify(|items| items.record_revision(revision));
     }
 
-    fn apply_removal(&mut self, key: &str, grace_until: Instant) {
+    fn apply_removal(&mut self, key: &str, grace_until: Timestamp) {
         match self.registry.parse_removal(key) {
             Some(Removal::UpstreamRemoved(instance)) => {
+                self.histories.forget(&instance);
                 self.handle_missing_entry(instance, grace_until);
             }
             Some(Removal::ZoneRestored(zone)) => {
@@ -377,32 +383,26 @@
     }
 
     fn apply_write(&mut self, item: PublishedItem, document: RegistryDocument) {
-        let key = Arc::clone(&item.key);
-        if !matches!(
-            document,
-            RegistryDocument::UnreadableUpstream { .. }
-                | RegistryDocument::UnreadableConfiguration { .. }
-        ) {
-            self.items.send_modify(|items| items.insert(item));
-        }
         match document {
             RegistryDocument::Configuration(table) => {
+                self.pass_on(item);
                 self.send_event(ForwardEvent::Configured(table));
             }
             RegistryDocument::EvacuatedZone(zone) => {
+                self.pass_on(item);
                 let mut zones = self.evacuated_zones.clone();
                 if zones.insert(zone) {
                     self.set_evacuated_zones(zones);
                 }
             }
-            RegistryDocument::Upstream(entry) => {
-                self.entry_keys.insert(Arc::clone(&entry.instance), key);
-                self.missing.remove(&entry.instance);
-                self.send_event(ForwardEvent::UpstreamRegistered(entry));
-            }
-            RegistryDocument::UnreadableUpstream { instance, reason } => {
-                warn!(self.log, "entry_unreadable"; "instance" => &*instance, "reason" => reason);
-                self.handle_missing_entry(instance, self.recovery_until);
+            RegistryDocument::Upstream(registration) => self.apply_entry(item, registration),
+            RegistryDocument::UnreadableUpstream {
+                instance,
+                field,
+                reason,
+            } => {
+                self.report_refusal(&item.key, &instance, field, &reason);
+                self.withdraw(&instance);
             }
             RegistryDocument::UnreadableConfiguration { reason } => {
                 error!(self.log, "configuration_unreadable"; "reason" => reason);
@@ -410,15 +410,63 @@
         }
     }
 
+    fn apply_entry(&mut self, item: PublishedItem, registration: UpstreamRegistration) {
+        let checked = self.histories.check(&registration);
+        let upstream = registration.upstream;
+        if let Err(conflict) = checked {
+            let reason = "in conflict with an earlier entry of the same start";
+            self.report_refusal(&item.key, &upstream.instance, conflict.field(), reason);
+            if conflict == EntryConflict::OtherService {
+                self.withdraw(&upstream.instance);
+            }
+            return;
+        }
+        let instance = &upstream.instance;
+        self.entry_keys
+            .insert(Arc::clone(instance), Arc::clone(&item.key));
+        self.missing.remove(instance);
+        self.pass_on(item);
+        self.send_event(ForwardEvent::UpstreamRegistered(upstream));
+    }
+
+    /// Keeps an item for the snapshots that other nodes ask for.
+    fn pass_on(&self, item: PublishedItem) {
+        self.items.send_modify(|items| items.insert(item));
+    }
+
+    /// Counts an entry that is not used, and logs the first one of each key.
+    fn report_refusal(
+        &mut self,
+        key: &str,
+        instance: &Arc<str>,
+        field: &'static str,
+        reason: &str,
+    ) {
+        self.metrics.record_refused_entry(field);
+        if self.histories.note_refusal(instance) {
+            warn!(self.log, "entry_refused"; "key" => key, "field" => field, "reason" => reason);
+        }
+    }
+
+    /// Deregisters an instance whose entry was overwritten by one that names no upstream. Its key exists, so its lease
+    /// has not expired and there is no grace period.
+    fn withdraw(&mut self, instance: &Arc<str>) {
+        self.missing.remove(instance);
+        if let Some(key) = self.entry_keys.get(instance) {
+            self.items.send_modify(|items| items.remove(key));
+            self.deregister(instance);
+        }
+    }
+
     /// Deregisters an instance whose entry disappeared, or notes it as missing during the grace period: its lease may
     /// just have expired while the registry failed. One that is missing already keeps its grace period.
-    fn handle_missing_entry(&mut self, instance: Arc<str>, grace_until: Instant) {
+    fn handle_missing_entry(&mut self, instance: Arc<str>, grace_until: Timestamp) {
         let Some(key) = self.entry_keys.get(&instance) else {
             return;
         };
         // Not passed on: a node that takes over the snapshot applies a grace period of its own.
         self.items.send_modify(|items| items.remove(key));
-        if Instant::now() < grace_until {
+        if self.now() < grace_until {
             self.missing.entry(instance).or_insert(grace_until);
         } else if !self.missing.contains_key(&instance) {
             self.deregister(&instance);
@@ -426,7 +474,7 @@
     }
 
     fn deregister_expired(&mut self) {
-        let now = Instant::now();
+        let now = self.now();
         let expired = self.missing.iter().filter(|(_, end)| **end <= now);
         let expired: Vec<_> = expired.map(|(instance, _)| Arc::clone(instance)).collect();
         for instance in expired {
