--- a/crates/medlarctl/src/loopback_proxy.rs
+++ b/crates/medlarctl/src/loopback_proxy.rs
@@ -23,6 +23,8 @@
     Delayed(Duration),
     /// Open connections are reset, and new ones as soon as they open.
     Reset,
+    /// Connections that are open when the fault begins are reset; new ones work.
+    Cut,
     /// Connections that are open when the fault begins pass no more bytes, even after it has ended; new ones work.
     Silent,
     /// Requests pass; replies are dropped.
@@ -55,6 +57,14 @@
         Ok(Self { fault })
     }
 
+    /// Resets the open connections, unless another fault lasts.
+    pub fn cut(&self) {
+        let has_other_fault = !matches!(*self.fault.borrow(), LinkFault::None | LinkFault::Cut);
+        if !has_other_fault {
+            self.fault.send_replace(LinkFault::Cut);
+        }
+    }
+
     /// Sets the fault of open and new connections; `LinkFault::None` ends it.
     pub fn set_fault(&self, fault: LinkFault) {
         self.fault.send_replace(fault);
@@ -110,7 +120,7 @@
                 let current = *fault.borrow_and_update();
                 match current {
                     _ if changed.is_err() => return (from, to),
-                    LinkFault::Reset => return (from, to),
+                    LinkFault::Reset | LinkFault::Cut => return (from, to),
                     LinkFault::Silent => wait_for_proxy_end(&mut fault).await,
                     _ => {}
                 }
--- a/crates/medlarctl/src/soak_fault.rs
+++ b/crates/medlarctl/src/soak_fault.rs
@@ -30,6 +30,14 @@
     PauseStore(Duration),
     /// The store compacts its history, so that watches from an earlier revision can not resume.
     CompactStore,
+    /// The connections of all nodes to the store are cut, so many times with a second between them. Watches may be cut at
+    /// any time, so this is no disturbance.
+    CutWatches(u32),
+    /// Another writer leaves an incomplete entry of another service under the key of an upstream. The upstream's next
+    /// entry replaces it.
+    OddEntry(usize),
+    /// Another instance starts at another address, and the entry of the present one is removed before it ends.
+    RemoveUpstream(usize),
     /// Fault of the link from one node to the store.
     StoreLink(usize, LinkFault, Duration),
     /// Fault of the link from all nodes to an upstream.
--- a/crates/medlarctl/src/soak_fleet.rs
+++ b/crates/medlarctl/src/soak_fleet.rs
@@ -270,6 +270,48 @@
         self.nodes[node].store_link.set_fault(fault);
     }
 
+    /// Cuts the open connections from all nodes to the store.
+    pub(crate) fn cut_store_links(&self) {
+        for node in &self.nodes {
+            node.store_link.cut();
+        }
+    }
+
+    /// Writes an incomplete entry of another service under the key of an upstream that runs.
+    pub(crate) async fn put_odd_entry(&mut self, position: usize) {
+        let upstream = &self.upstreams[position];
+        let other = self.upstreams.iter().map(|upstream| &upstream.service);
+        let other = other.into_iter().find(|name| **name != upstream.service);
+        let (Some(service), Some(_)) = (other, &upstream.process) else {
+            return;
+        };
+        let entry = serde_json::json!({
+            "service": service,
+            "address": upstream.proxy_address.to_string(),
+            "zone": upstream.zone,
+            "slots": UPSTREAM_SLOTS,
+            "state": "ready",
+            "warmupLeftMs": 0,
+        });
+        let key = upstream_key(&upstream.instance);
+        let command = StoreCommand::Put(key, entry.to_string().into_bytes());
+        self.send_store_command(&command).await;
+    }
+
+    /// Writes the entry of an upstream that runs again.
+    pub(crate) async fn repeat_entry(&mut self, position: usize) {
+        if self.upstreams[position].process.is_none() {
+            return;
+        }
+        let upstream = self.upstreams.swap_remove(position);
+        let cold_until = self.history.instances[&upstream.instance].cold_until;
+        let cold_for = Duration::from_micros(cold_until.saturating_sub(monotonic_micros()));
+        self.put_entry(&upstream, EntryState::Ready, cold_for).await;
+        self.upstreams.push(upstream);
+        let last = self.upstreams.len() - 1;
+        self.upstreams.swap(position, last);
+    }
+
     /// Sends a signal to the store.
     pub(crate) fn signal_store(&self, signal: Signal) {
         self.store.signal(signal);
@@ -388,9 +430,13 @@
         result
     }
 
-    /// Starts another instance at another address, and marks the present one as leaving. Returns the name of the
-    /// leaving instance.
-    pub(crate) async fn replace_upstream(&mut self, position: usize) -> io::Result<Option<String>> {
+    /// Starts another instance at another address. The entry of the present one is marked as leaving, or removed if it is
+    /// not announced. Returns the name of the leaving instance.
+    pub(crate) async fn replace_upstream(
+        &mut self,
+        position: usize,
+        is_announced: bool,
+    ) -> io::Result<Option<String>> {
         let present = &self.upstreams[position];
         if present.process.is_none() {
             return Ok(None);
@@ -398,9 +444,14 @@
         let (service, zone) = (present.service.clone(), present.zone);
         let replacement = self.start_upstream(&service, zone, COLD_TIME).await?;
         let leaving = std::mem::replace(&mut self.upstreams[position], replacement);
-        self.put_entry(&leaving, EntryState::Draining, Duration::ZERO)
-            .await;
         let instance = leaving.instance.clone();
+        if is_announced {
+            self.put_entry(&leaving, EntryState::Draining, Duration::ZERO)
+                .await;
+        } else {
+            let command = StoreCommand::Remove(upstream_key(&instance));
+            self.send_store_command(&command).await;
+        }
         if let Some(record) = self.history.instances.get_mut(&instance) {
             record.leaving = Some(monotonic_micros());
         }
--- a/crates/medlarctl/src/soak_run.rs
+++ b/crates/medlarctl/src/soak_run.rs
@@ -22,6 +22,12 @@
     time::Instant,
 };
 
+/// Time between two cuts of the nodes' watches.
+const WATCH_CUT_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Time from an entry of another writer until the upstream writes its own again.
+const ENTRY_INTERVAL: Duration = Duration::from_millis(1_200);
+
 /// Time without new faults at the end, in which requests must be served again.
 const FAULT_FREE_END: Duration = Duration::from_secs(15);
 
@@ -53,6 +59,7 @@
     RestartUpstream(usize, usize),
     EndLeaving(String),
     RestoreStore(usize),
+    RepeatEntry(usize),
     ReturnZone(&'static str),
 }
 
@@ -311,6 +318,17 @@
                 self.fleet.signal_store(Signal::STOP);
                 self.begin_store_disturbance(time);
             }
+            SoakFault::CutWatches(count) => {
+                self.fleet.cut_store_links();
+                if let Some(left) = count.checked_sub(1).filter(|left| *left > 0) {
+                    let next = ScheduledAction::Begin(SoakFault::CutWatches(left));
+                    self.schedule_at(Instant::now() + WATCH_CUT_INTERVAL, next);
+                }
+            }
+            SoakFault::OddEntry(upstream) => {
+                self.fleet.put_odd_entry(upstream).await;
+                self.schedule_end(ENTRY_INTERVAL, FaultEnd::RepeatEntry(upstream));
+            }
             SoakFault::CompactStore => {
                 self.fleet.send_store_command(&StoreCommand::Compact).await;
             }
@@ -332,8 +350,9 @@
                 self.fleet.kill_upstream(upstream).await;
                 self.schedule_end(time, FaultEnd::RestartUpstream(upstream, span));
             }
-            SoakFault::ReplaceUpstream(upstream) => {
-                if let Some(instance) = self.fleet.replace_upstream(upstream).await? {
+            SoakFault::ReplaceUpstream(upstream) | SoakFault::RemoveUpstream(upstream) => {
+                let is_announced = matches!(fault, SoakFault::ReplaceUpstream(_));
+                if let Some(instance) = self.fleet.replace_upstream(upstream, is_announced).await? {
                     self.schedule_end(LEAVING_TIME, FaultEnd::EndLeaving(instance));
                 }
             }
@@ -392,6 +411,7 @@
                 self.fleet.restart_upstream(upstream).await?;
                 self.end_upstream_disturbance(upstream, span);
             }
+            FaultEnd::RepeatEntry(upstream) => self.fleet.repeat_entry(upstream).await,
             FaultEnd::EndLeaving(instance) => self.fleet.end_leaving(&instance).await,
             FaultEnd::RestoreStore(span) => {
                 self.fleet.signal_store(Signal::CONT);
--- a/crates/medlarctl/src/soak_schedule.rs
+++ b/crates/medlarctl/src/soak_schedule.rs
@@ -13,6 +13,12 @@
 /// Duration of a fault, in milliseconds.
 const FAULT_DURATION_MS: std::ops::Range<u64> = 300..5_000;
 
+/// Duration of a fault of the link to the store, in milliseconds.
+const STORE_LINK_FAULT_MS: std::ops::Range<u64> = 100..9_000;
+
+/// Number of cuts of watches in a row.
+const WATCH_CUTS: std::ops::Range<u32> = 1..8;
+
 /// Delay of a slowed link, in milliseconds.
 const LINK_DELAY_MS: std::ops::Range<u64> = 20..300;
 
@@ -48,7 +54,7 @@
     let node = random.usize(..options.nodes);
     let upstream = random.usize(..options.upstreams);
     let time = Duration::from_millis(random.u64(FAULT_DURATION_MS));
-    match random.u32(..21) {
+    match random.u32(..26) {
         0 => SoakFault::KillNode(node, time),
         1 | 2 => SoakFault::StopNode(node),
         3 => SoakFault::PauseNode(node, time),
@@ -60,10 +66,16 @@
         12 => SoakFault::RefuseStoreCalls(time),
         13 => SoakFault::PauseStore(time),
         14 => SoakFault::CompactStore,
-        15 => SoakFault::StoreLink(node, random_link_fault(random), time),
+        15 | 21 => {
+            let time = Duration::from_millis(random.u64(STORE_LINK_FAULT_MS));
+            SoakFault::StoreLink(node, random_link_fault(random), time)
+        }
         16 | 17 => SoakFault::UpstreamLink(upstream, random_link_fault(random), time),
         18 => SoakFault::PublishConfiguration,
         19 => SoakFault::Repartition,
+        22 => SoakFault::CutWatches(random.u32(WATCH_CUTS)),
+        23 => SoakFault::OddEntry(upstream),
+        24 | 25 => SoakFault::RemoveUpstream(upstream),
         _ => SoakFault::ZoneOut(random.usize(..options.zones), time),
     }
 }
