--- a/crates/core/src/prelude.rs
+++ b/crates/core/src/prelude.rs
@@ -19,6 +19,7 @@
     engine::{Engine, EngineSettings, PolicyMode},
     engine_statistics::EngineStatistics,
     engine_status::{EngineStatus, RunningStatus, UpstreamStatus, ZoneStatus},
+    entry_history::{EntryConflict, EntryHistories},
     envelope::{Approved, ApprovedBundle, Envelope, Owners, Unverified},
     envelope_error::{self, EnvelopeError},
     event::{
@@ -50,6 +51,9 @@
     quota_message::{QuotaAsk, QuotaGrant, QuotaMessage},
     refusal::{Execution, Refusal, RefusalKind},
     registered_upstream::RegisteredUpstream,
+    registry_bounds::{RegistryBounds, RegistryLimits},
+    registry_contact::{RegistryContact, WatchTimes},
+    registry_contact_chart::{RegistryContactEvent, RegistryState},
     replica_chart::{ReplicaAction, ReplicaEvent, ReplicaGuard, ReplicaMachine, ReplicaState},
     routing::{
         CallerLimits, Route, RouteIndex, RoutingTable, ServiceSettings, ShardTarget, Target,
@@ -61,6 +65,7 @@
     snapshot::{PublishedItem, Snapshot, SnapshotRequest},
     timestamp::Timestamp,
     upstream_notice::{NoticeKind, UpstreamNotice},
+    upstream_registration::UpstreamRegistration,
     validation_error::{ValidationCode, ValidationError},
     workspace_quotas::{OutgoingQuotaMessage, QuotaShareStatus, WorkspaceQuotas},
     workspace_settings::{
--- a/crates/node/tests/configuration_confirmation.rs
+++ b/crates/node/tests/configuration_confirmation.rs
@@ -4,9 +4,10 @@
 use medlarpost_core::prelude::*;
 use medlarpost_node::{
     boot_clock::BootClock,
+    forward_metrics::ForwardMetrics,
     forward_task::ForwardMessage,
     registry::{Change, Changes, Registry, RegistryDocument, RegistryError, Removal},
-    registry_watcher::{RegistryWatcher, WatchSettings},
+    registry_watcher::RegistryWatcher,
 };
 use slog::{Discard, Logger, o};
 use std::{cell::RefCell, rc::Rc};
@@ -15,13 +16,13 @@
     time::Instant,
 };
 
-/// Settings of a deployment whose `contactMs` is 5 s and whose other bounds are 5 s.
-const SETTINGS: WatchSettings = WatchSettings {
-    max_wait: Duration::from_millis(2_500),
-    interval: Duration::from_secs(1),
-    recovery_grace: Duration::from_millis(2_300),
-    lapse_grace: Duration::from_millis(2_300),
-    revoke_within: Some(Duration::from_secs(5)),
+/// Bounds of a deployment whose keys must be revoked everywhere in time.
+const BOUNDS: RegistryBounds = RegistryBounds {
+    contact: Duration::from_secs(5),
+    drain: Duration::from_secs(5),
+    config_apply: Duration::from_secs(5),
+    evacuate: Duration::from_secs(5),
+    revoke: Some(Duration::from_secs(5)),
 };
 
 /// Time of a request and of a reply on their way.
@@ -77,7 +78,7 @@
 }
 
 impl Registry for FakeRegistry {
-    async fn list(&self) -> Result<Snapshot, RegistryError> {
+    async fn list(&self, _timeout: Duration) -> Result<Snapshot, RegistryError> {
         let Changes { revision, changes } = self.changes_after(0);
         let written = changes.into_iter().filter_map(|change| match change {
             Change::Written(item) => Some(item),
@@ -90,7 +91,8 @@
         })
     }
 
-    async fn watch(&self, after: u64, wait: Duration) -> Result<Changes, RegistryError> {
+    async fn watch(&self, after: u64, times: WatchTimes) -> Result<Changes, RegistryError> {
+        let wait = times.wait;
         self.0.borrow_mut().waits.push(wait);
         tokio::time::sleep(TRANSIT).await;
         let until = Instant::now() + wait;
@@ -150,13 +152,15 @@
 }
 
 /// Starts a watcher of the registry. The time must be simulated already.
-fn start_watcher(registry: FakeRegistry, settings: WatchSettings) -> Watched {
+fn start_watcher(registry: FakeRegistry, bounds: RegistryBounds) -> Watched {
     let origin = Instant::now();
     let (forward, messages) = mpsc::unbounded_channel();
     let (_contacts, contacts) = watch::channel(Vec::new());
-    let (_settings, settings) = watch::channel(settings);
+    let (_limits, limits) = watch::channel(bounds.limits());
+    let metrics = ForwardMetrics::register(&prometheus::Registry::new()).expect("unique names");
     let log = Logger::root(Discard, o!());
-    let watcher = RegistryWatcher::new(registry.clone(), settings, forward, contacts, log)
+    let watcher = RegistryWatcher::new(registry.clone(), limits, forward, contacts, metrics, log)
+        .expect("the chart is valid")
         .with_boot_clock(BootClock::Runtime(origin));
     Watched {
         registry,
@@ -199,7 +203,7 @@
 
 /// Shortest rest of the lease at the moment at which a confirmation extends it.
 fn shortest_rest(confirmations: &[Confirmation]) -> Option<Duration> {
-    let mut lease = KeyLease::new(SETTINGS.revoke_within);
+    let mut lease = KeyLease::new(BOUNDS.revoke);
     let mut rests = Vec::new();
     for confirmation in confirmations {
         rests.extend(lease.time_left(confirmation.received_at));
@@ -219,7 +223,7 @@
         let pauses = (0..200).map(|_| Duration::from_millis(random.u64(0..longest_ms)));
         let registry = FakeRegistry::with_version(1);
         write_after_pauses(&registry, pauses.collect());
-        let mut watched = start_watcher(registry, SETTINGS);
+        let mut watched = start_watcher(registry, BOUNDS);
 
         let confirmations = watched.confirmations_within(Duration::from_mins(2)).await;
         watched.task.abort();
@@ -234,13 +238,13 @@
 async fn the_bound_adds_no_watches_of_a_registry_without_changes() {
     tokio::time::pause();
     let registry = FakeRegistry::with_version(1);
-    let mut watched = start_watcher(registry, SETTINGS);
+    let mut watched = start_watcher(registry, BOUNDS);
 
     let confirmations = watched.confirmations_within(Duration::from_mins(1)).await;
 
     assert!(shortest_rest(&confirmations) > Some(Duration::from_secs(1)));
     let waits = watched.registry.0.borrow().waits.clone();
-    assert!(waits.iter().all(|wait| *wait == SETTINGS.max_wait));
+    assert!(waits.iter().all(|wait| *wait == BOUNDS.limits().max_wait));
 }
 
 /// Guards against other waits on deployments that don't ask for the bound.
@@ -250,16 +254,16 @@
     let registry = FakeRegistry::with_version(1);
     let pauses = vec![Duration::from_millis(2_900); 20];
     write_after_pauses(&registry, pauses);
-    let settings = WatchSettings {
-        revoke_within: None,
-        ..SETTINGS
+    let bounds = RegistryBounds {
+        revoke: None,
+        ..BOUNDS
     };
-    let mut watched = start_watcher(registry, settings);
+    let mut watched = start_watcher(registry, bounds);
 
     watched.confirmations_within(Duration::from_mins(1)).await;
 
     let waits = watched.registry.0.borrow().waits.clone();
-    assert!(waits.iter().all(|wait| *wait == SETTINGS.max_wait));
+    assert!(waits.iter().all(|wait| *wait == BOUNDS.limits().max_wait));
 }
 
 /// Guards against revoked keys of the last readable configuration, which a read would confirm although the registry holds
@@ -267,7 +271,7 @@
 #[actix_rt::test]
 async fn an_unreadable_configuration_is_not_confirmed() {
     tokio::time::pause();
-    let mut watched = start_watcher(FakeRegistry::with_version(1), SETTINGS);
+    let mut watched = start_watcher(FakeRegistry::with_version(1), BOUNDS);
     let before = watched.confirmations_within(Duration::from_secs(5)).await;
 
     watched.registry.write(CONFIGURATION, UNREADABLE);
@@ -284,7 +288,7 @@
 #[actix_rt::test]
 async fn a_removed_configuration_is_not_confirmed() {
     tokio::time::pause();
-    let mut watched = start_watcher(FakeRegistry::with_version(1), SETTINGS);
+    let mut watched = start_watcher(FakeRegistry::with_version(1), BOUNDS);
     watched.confirmations_within(Duration::from_secs(5)).await;
 
     watched.registry.remove(CONFIGURATION);
