Measure the choice of replicas in simulated fleets

Cause: the choice of a replica by the lowest expected time was never measured with several nodes that share outdated information. The age is the mean time between two replies of one upstream to one node. Idle is the share of time in which a slot idles while another upstream has a queue; wasted the share of all slots that idle while as many requests wait elsewhere.

--- /dev/null
+++ b/crates/core/tests/placement/figures.rs
@@ -0,0 +1,88 @@
+//! Figures of one simulated run.
+
+use crate::upstream_model::UpstreamModel;
+use medlarpost_core::prelude::*;
+use std::fmt;
+
+/// What a run measures, after its warm-up.
+#[derive(Clone, Debug, Default)]
+pub struct Figures {
+    measured_micros: u64,
+    /// Time in which a slot idles while another upstream has a queue.
+    idle_micros: u64,
+    /// Slots that idle while as many requests wait at other upstreams, summed over time.
+    wasted_slot_micros: u64,
+    slots: u64,
+    latencies: Vec<u64>,
+    pub refused: usize,
+    pub max_queue: usize,
+    pub sent: usize,
+    pub sent_to_other_zones: usize,
+}
+
+impl Figures {
+    /// Adds a period in which the state of the upstreams did not change.
+    pub fn add_period(&mut self, from: Timestamp, to: Timestamp, upstreams: &[UpstreamModel]) {
+        let time = to.since(from).as_micros() as u64;
+        let idle: u64 = upstreams
+            .iter()
+            .filter(|upstream| !upstream.is_paused(from) && upstream.queue.is_empty())
+            .map(|upstream| u64::from(upstream.slots - upstream.running))
+            .sum();
+        let queued: usize = upstreams.iter().map(|upstream| upstream.queue.len()).sum();
+        self.measured_micros += time;
+        self.slots = upstreams.iter().map(|u| u64::from(u.slots)).sum();
+        self.wasted_slot_micros += time * idle.min(queued as u64);
+        if idle > 0 && queued > 0 {
+            self.idle_micros += time;
+        }
+        let longest = upstreams.iter().map(|upstream| upstream.queue.len()).max();
+        self.max_queue = self.max_queue.max(longest.unwrap_or_default());
+    }
+
+    pub fn add_latency(&mut self, latency: Duration) {
+        self.latencies.push(latency.as_micros() as u64);
+    }
+
+    pub fn finish(&mut self) {
+        self.latencies.sort_unstable();
+    }
+
+    pub fn quantile_ms(&self, share: f64) -> f64 {
+        let index = (self.latencies.len() as f64 * share) as usize;
+        self.latencies[index.min(self.latencies.len() - 1)] as f64 / 1_000.0
+    }
+
+    /// Share of time in which a slot idles while another upstream has a queue.
+    pub fn idle_share(&self) -> f64 {
+        self.idle_micros as f64 / self.measured_micros as f64
+    }
+
+    /// Share of all slots that idle while as many requests wait elsewhere.
+    pub fn wasted_share(&self) -> f64 {
+        self.wasted_slot_micros as f64 / (self.measured_micros * self.slots) as f64
+    }
+
+    pub fn refused_share(&self) -> f64 {
+        self.refused as f64 / (self.refused + self.latencies.len()) as f64
+    }
+
+    pub fn cross_zone_share(&self) -> f64 {
+        self.sent_to_other_zones as f64 / self.sent as f64
+    }
+}
+
+impl fmt::Display for Figures {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let (p50, p99) = (self.quantile_ms(0.5), self.quantile_ms(0.99));
+        write!(
+            f,
+            "idle {:.3} wasted {:.4} p50 {p50:.1} p99 {p99:.1} max queue {} refused {:.4} other zone {:.3}",
+            self.idle_share(),
+            self.wasted_share(),
+            self.max_queue,
+            self.refused_share(),
+            self.cross_zone_share(),
+        )
+    }
+}
--- /dev/null
+++ b/crates/core/tests/placement/fleet.rs
@@ -0,0 +1,408 @@
+//! A fleet of forwarders, each with its own view of the upstreams that all of them use.
+
+use crate::{
+    figures::Figures,
+    upstream_model::{Job, UpstreamModel},
+};
+use bytes::Bytes;
+use medlarpost_core::prelude::*;
+use std::{
+    cmp::Reverse,
+    collections::{BinaryHeap, HashMap},
+    fmt,
+};
+
+const WARM_UP: Duration = Duration::from_secs(3);
+const MEASURED: Duration = Duration::from_secs(15);
+/// Time of a message between a node and an upstream.
+const NETWORK_DELAY: Duration = Duration::from_micros(400);
+/// Share of the capacity of all upstreams that the callers use.
+const LOAD_SHARE: f64 = 0.65;
+/// Share of an upstream's capacity that is left beside slow spells and pauses.
+const USABLE_CAPACITY: f64 = 0.87;
+const SLOTS: [u32; 6] = [4, 3, 5, 2, 7, 4];
+const SPEEDS: [f64; 3] = [1.0, 0.8, 1.3];
+const MIN_OBJECTIVE: Duration = Duration::from_millis(120);
+/// Share by which the traffic of an availability zone varies, and how fast.
+const ZONE_SWING: f64 = 0.55;
+const ZONE_SWING_SECS: f64 = 15.0;
+const ZONES: [&str; 3] = ["z-a", "z-b", "z-c"];
+
+/// How nodes and upstreams are spread over availability zones.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Layout {
+    /// All in one zone.
+    OneZone,
+    /// Nodes and upstreams in turn over three zones, whose traffic varies.
+    ThreeZones,
+}
+
+/// What is simulated.
+#[derive(Clone, Copy, Debug)]
+pub struct Case {
+    pub nodes: usize,
+    pub upstreams: usize,
+    /// Mean time between two replies of an upstream to the same node, which decides the service time.
+    pub report_age_ms: u64,
+    pub layout: Layout,
+}
+
+impl fmt::Display for Case {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let zones = match self.layout {
+            Layout::OneZone => 1,
+            Layout::ThreeZones => ZONES.len(),
+        };
+        write!(
+            f,
+            "{} nodes {} upstreams {} ms {zones} zones",
+            self.nodes, self.upstreams, self.report_age_ms
+        )
+    }
+}
+
+/// Something that happens at a time.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+enum Event {
+    Arrival,
+    AtUpstream(usize, usize),
+    Finished(usize, usize),
+    Resume(usize),
+    AtNode(usize),
+    Wakeup(usize),
+}
+
+#[derive(Debug)]
+struct Node {
+    forwarder: Forwarder,
+    zone: usize,
+    /// Share of the callers, relative to other nodes.
+    weight: f64,
+    upstreams: HashMap<UpstreamKey, usize>,
+    wakeup: Option<Timestamp>,
+}
+
+#[derive(Debug)]
+struct Fleet {
+    layout: Layout,
+    now: Timestamp,
+    events: BinaryHeap<Reverse<(Timestamp, u64, Event)>>,
+    events_pushed: u64,
+    nodes: Vec<Node>,
+    upstreams: Vec<UpstreamModel>,
+    jobs: Vec<Job>,
+    replies: Vec<(Job, ReportedLoad)>,
+    callers: SlotMap<CallerKey, Timestamp>,
+    gap_micros: f64,
+    service_micros: f64,
+    rng: fastrand::Rng,
+    figures: Figures,
+}
+
+/// Runs a case and returns its figures, which depend on the seed only.
+pub fn run(case: Case, seed: u64) -> Figures {
+    let mut fleet = Fleet::new(case, seed);
+    fleet.push(Timestamp::ZERO, Event::Arrival);
+    let end = Timestamp::ZERO + WARM_UP + MEASURED;
+    while let Some(Reverse((at, _, event))) = fleet.events.pop() {
+        if at >= end {
+            break;
+        }
+        if fleet.is_measuring() {
+            let from = fleet.now;
+            fleet.figures.add_period(from, at, &fleet.upstreams);
+        }
+        fleet.now = at;
+        fleet.handle(event);
+    }
+    fleet.figures.finish();
+    fleet.figures
+}
+
+impl Fleet {
+    fn new(case: Case, seed: u64) -> Self {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let models = |i: usize| {
+            let rng = fastrand::Rng::with_seed(seed + i as u64);
+            UpstreamModel::new(SLOTS[i % SLOTS.len()], SPEEDS[i % SPEEDS.len()], rng)
+        };
+        let upstreams: Vec<_> = (0..case.upstreams).map(models).collect();
+        let replies_per_sec =
+            1_000.0 / case.report_age_ms as f64 * case.nodes as f64 * case.upstreams as f64;
+        let capacity: f64 = (0..case.upstreams)
+            .map(|i| f64::from(SLOTS[i % SLOTS.len()]) * SPEEDS[i % SPEEDS.len()])
+            .sum();
+        let service_secs = LOAD_SHARE * USABLE_CAPACITY * capacity / replies_per_sec;
+        let objective = MIN_OBJECTIVE.max(Duration::from_secs_f64(service_secs * 8.0));
+        let nodes = (0..case.nodes).map(|i| new_node(case, i, objective, &mut rng));
+        Self {
+            layout: case.layout,
+            now: Timestamp::ZERO,
+            events: BinaryHeap::new(),
+            events_pushed: 0,
+            nodes: nodes.collect(),
+            upstreams,
+            jobs: Vec::new(),
+            replies: Vec::new(),
+            callers: SlotMap::with_key(),
+            gap_micros: 1e6 / replies_per_sec,
+            service_micros: service_secs * 1e6,
+            rng,
+            figures: Figures::default(),
+        }
+    }
+
+    fn is_measuring(&self) -> bool {
+        self.now >= Timestamp::ZERO + WARM_UP
+    }
+
+    fn push(&mut self, at: Timestamp, event: Event) {
+        self.events_pushed += 1;
+        self.events.push(Reverse((at, self.events_pushed, event)));
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Arrival => self.arrive(),
+            Event::AtUpstream(upstream, job) => {
+                let job = self.jobs[job];
+                self.upstreams[upstream].queue.push_back(job);
+                self.start_jobs(upstream);
+            }
+            Event::Finished(upstream, job) => self.finish(upstream, job),
+            Event::Resume(upstream) => self.start_jobs(upstream),
+            Event::AtNode(reply) => {
+                let (job, load) = self.replies[reply];
+                let end = AttemptEnd {
+                    attempt: job.attempt,
+                    outcome: ForwardOutcome::Served(reply_without_body()),
+                    report: UpstreamReport {
+                        load: Some(load),
+                        ..UpstreamReport::default()
+                    },
+                };
+                self.tell(job.node, ForwardEvent::AttemptEnded(end));
+            }
+            Event::Wakeup(node) => {
+                if self.nodes[node]
+                    .wakeup
+                    .take_if(|at| *at <= self.now)
+                    .is_some()
+                {
+                    self.tell(node, ForwardEvent::Wakeup);
+                }
+            }
+        }
+    }
+
+    fn arrive(&mut self) {
+        let gap = -self.rng.f64().max(1e-12).ln() * self.gap_micros;
+        self.push(self.now + Duration::from_micros(gap as u64), Event::Arrival);
+        let node = self.pick_node();
+        let caller = self.callers.insert(self.now);
+        let request = Arc::new(request());
+        self.tell(node, ForwardEvent::RequestArrived { caller, request });
+    }
+
+    fn pick_node(&mut self) -> usize {
+        let secs = self.now.as_micros() as f64 / 1e6;
+        let traffic = |node: &Node| {
+            let phase = secs / ZONE_SWING_SECS + node.zone as f64 / ZONES.len() as f64;
+            let swing = match self.layout {
+                Layout::OneZone => 0.0,
+                Layout::ThreeZones => ZONE_SWING * (phase * std::f64::consts::TAU).sin(),
+            };
+            node.weight * (1.0 + swing)
+        };
+        let total: f64 = self.nodes.iter().map(traffic).sum();
+        let mut left = self.rng.f64() * total;
+        let found = self.nodes.iter().position(|node| {
+            left -= traffic(node);
+            left <= 0.0
+        });
+        found.unwrap_or_default()
+    }
+
+    fn start_jobs(&mut self, upstream: usize) {
+        self.upstreams[upstream].update(self.now);
+        while let Some((job, end)) = self.upstreams[upstream].start_next(self.now) {
+            self.jobs.push(job);
+            self.push(end, Event::Finished(upstream, self.jobs.len() - 1));
+        }
+        let model = &self.upstreams[upstream];
+        if model.is_paused(self.now) {
+            self.push(model.paused_until, Event::Resume(upstream));
+        }
+    }
+
+    fn finish(&mut self, upstream: usize, job: usize) {
+        self.upstreams[upstream].running -= 1;
+        self.start_jobs(upstream);
+        let report = self.upstreams[upstream].report();
+        self.replies.push((self.jobs[job], report));
+        let reply = self.replies.len() - 1;
+        self.push(self.now + NETWORK_DELAY, Event::AtNode(reply));
+    }
+
+    fn tell(&mut self, node: usize, event: ForwardEvent) {
+        let mut commands = Vec::new();
+        self.nodes[node]
+            .forwarder
+            .handle(self.now, event, &mut commands);
+        for command in commands {
+            match command {
+                ForwardCommand::SendAttempt {
+                    attempt, upstream, ..
+                } => self.send(node, attempt, upstream),
+                ForwardCommand::Answer { caller, answer } => self.answer(caller, &answer),
+                _ => {}
+            }
+        }
+        let wakeup = self.nodes[node].forwarder.next_wakeup();
+        if wakeup != self.nodes[node].wakeup {
+            self.nodes[node].wakeup = wakeup;
+            if let Some(at) = wakeup {
+                self.push(at.max(self.now), Event::Wakeup(node));
+            }
+        }
+    }
+
+    fn send(&mut self, node: usize, attempt: AttemptKey, upstream: UpstreamKey) {
+        let upstream = self.nodes[node].upstreams[&upstream];
+        if self.is_measuring() {
+            self.figures.sent += 1;
+            let far = upstream % ZONES.len() != self.nodes[node].zone;
+            self.figures.sent_to_other_zones +=
+                usize::from(far && self.layout == Layout::ThreeZones);
+        }
+        let work_micros = self.service_micros * (0.4 + 1.2 * self.rng.f64());
+        self.jobs.push(Job {
+            node,
+            attempt,
+            work_micros,
+        });
+        let job = self.jobs.len() - 1;
+        self.push(self.now + NETWORK_DELAY, Event::AtUpstream(upstream, job));
+    }
+
+    fn answer(&mut self, caller: CallerKey, answer: &ForwardAnswer) {
+        let Some(arrived) = self.callers.remove(caller) else {
+            return;
+        };
+        if !self.is_measuring() {
+            return;
+        }
+        match answer {
+            ForwardAnswer::Reply(_) => self.figures.add_latency(self.now.since(arrived)),
+            _ => self.figures.refused += 1,
+        }
+    }
+}
+
+fn new_node(case: Case, index: usize, objective: Duration, rng: &mut fastrand::Rng) -> Node {
+    let zone_of = |index: usize| match case.layout {
+        Layout::OneZone => 0,
+        Layout::ThreeZones => index % ZONES.len(),
+    };
+    let mut forwarder = Forwarder::new(settings(case, ZONES[zone_of(index)], rng.u64(..)))
+        .expect("embedded charts are valid");
+    let mut commands = Vec::new();
+    let mut tell = |event| forwarder.handle(Timestamp::ZERO, event, &mut commands);
+    tell(ForwardEvent::Configured(table(objective)));
+    for upstream in 0..case.upstreams {
+        let zone = ZONES[zone_of(upstream)];
+        tell(ForwardEvent::UpstreamRegistered(entry(upstream, zone)));
+    }
+    let keys = commands.iter().filter_map(|command| match command {
+        ForwardCommand::OpenUpstream { upstream, .. } => Some(*upstream),
+        _ => None,
+    });
+    Node {
+        upstreams: keys.zip(0..).collect(),
+        zone: zone_of(index),
+        weight: 0.2 - rng.f64().max(1e-3).ln(),
+        wakeup: None,
+        forwarder,
+    }
+}
+
+fn settings(case: Case, zone: &str, seed: u64) -> ForwarderSettings {
+    ForwarderSettings {
+        zone: zone.into(),
+        regions: ZONES.map(|zone| (zone.into(), "r-1".into())).into(),
+        limits: FleetLimits {
+            extra_ratio: 0.2,
+            extra_slack: 50.0,
+            extra_window: Duration::from_secs(10),
+            cold_excess: 1.5,
+            cold_slack: 5.0,
+        },
+        cross_zone_cost: 0.5,
+        answer_margin: Duration::from_millis(10),
+        initial_fleet_size: case.nodes as u32,
+        seed,
+    }
+}
+
+fn table(objective: Duration) -> Arc<RoutingTable> {
+    let route = Route {
+        name: "a".into(),
+        host: "search.example".to_owned(),
+        prefix: "/a/".to_owned(),
+        idempotent: true,
+        timeout: objective * 6,
+        objective,
+        max_attempts: 2,
+        rank: 1,
+        public: false,
+        regions: Vec::new(),
+        target: Target::Service("desk".into()),
+    };
+    let service = ServiceSettings {
+        max_connections: 100_000,
+        warm_up: Duration::ZERO,
+        cold_rate: None,
+    };
+    let services = BTreeMap::from([("desk".into(), service)]);
+    Arc::new(RoutingTable::new(
+        1,
+        vec![route],
+        services,
+        CallerLimits::default(),
+    ))
+}
+
+fn entry(index: usize, zone: &str) -> RegisteredUpstream {
+    RegisteredUpstream {
+        instance: format!("desk-{index}").into(),
+        service: "desk".into(),
+        address: "127.0.0.1:9".parse().expect("a valid address"),
+        zone: zone.into(),
+        slots: SLOTS[index % SLOTS.len()],
+        leaving: false,
+        cold_for: Duration::ZERO,
+        started_at_ms: 1,
+    }
+}
+
+fn request() -> ForwardRequest {
+    ForwardRequest {
+        id: "request-1".into(),
+        host: "search.example".to_owned(),
+        method: "GET".to_owned(),
+        target: "/a/1".to_owned(),
+        credential: Credential::Missing,
+        fields: Vec::new(),
+        body: Bytes::new(),
+        time_left: Duration::from_mins(1),
+    }
+}
+
+fn reply_without_body() -> UpstreamReply {
+    UpstreamReply {
+        status: 200,
+        fields: Vec::new(),
+        proof: Some(Bytes::from_static(b"proof")),
+        body: Bytes::new(),
+    }
+}
