Draw replicas by estimated load instead of taking the lowest expected time

Cause: a report counted fully for 150 ms and then not at all, replies that had waited in a queue made their upstream look slow for seconds, and every node took the replica with the lowest expected time, so that nodes with the same outdated knowledge chose the same one together. Change: load_estimate.rs lets a report fade towards the upstream's usual load and adds this node's attempts since then; the service time is the reply time without the queue that the reply shows, times the reported service time, which fades in 250 ms. replica_draw.rs draws in proportion to the third power of the free capacity and to exp(-excess time), among the replicas of the own zone; another zone takes part if it is quicker by more than its cost, or in time where the own zone is probably late. Without any report the lowest expected time wins as before. Impossible figures are ignored. extra_attempt shows the expected time and the age of the report; medlarpost_forward_report_age_seconds counts the ages.

--- a/crates/core/src/forward_command.rs
+++ b/crates/core/src/forward_command.rs
@@ -31,6 +31,8 @@
         deadline: Timestamp,
         /// Whether the request is not idempotent and must not run twice.
         at_most_once: bool,
+        /// Age of the load report that the upstream was chosen by; `None` if it has sent none.
+        report_age: Option<Duration>,
     },
     /// Cancel an attempt whose reply is no longer wanted.
     CancelAttempt {
@@ -69,6 +71,10 @@
         cause: &'static str,
         /// Extra requests left in the service's budget.
         budget_left: f64,
+        /// Expected time to its reply.
+        expected: Duration,
+        /// Age of the upstream's load report; `None` if it has sent none.
+        report_age: Option<Duration>,
     },
     /// A request was refused because the queues of the upstreams would make its answer late.
     RefusedOverloaded {
--- a/crates/core/src/forward_request.rs
+++ b/crates/core/src/forward_request.rs
@@ -95,6 +95,46 @@
     pub waiting: u32,
     /// Requests that it can run at a time.
     pub slots: u32,
+    /// Service time at this moment in percent of the usual one, if it states that.
+    pub service_percent: Option<u32>,
+}
+
+/// Slots, requests and percentages beyond which a report is taken for a fault.
+const MAX_REPORTED_SLOTS: u32 = 10_000;
+const MAX_REPORTED_WAITING: u32 = 1_000_000;
+const REPORTED_PERCENT: std::ops::RangeInclusive<u32> = 10..=2_000;
+
+impl ReportedLoad {
+    /// The report without an impossible service time; `None` if another figure is impossible.
+    pub fn checked(self) -> Option<Self> {
+        let possible = (1..=MAX_REPORTED_SLOTS).contains(&self.slots)
+            && self.running <= self.slots
+            && self.waiting <= MAX_REPORTED_WAITING;
+        possible.then_some(Self {
+            service_percent: self
+                .service_percent
+                .filter(|percent| REPORTED_PERCENT.contains(percent)),
+            ..self
+        })
+    }
+
+    /// Requests that it runs and that wait.
+    pub fn requests(self) -> u32 {
+        self.running.saturating_add(self.waiting)
+    }
+
+    /// Service time as a multiple of the usual one, if it states that.
+    pub fn service_factor(self) -> Option<f64> {
+        self.service_percent
+            .map(|percent| f64::from(percent) / 100.0)
+    }
+
+    /// Time from the arrival of a request that just ended to its end, as a multiple of its usual service time, if it
+    /// waited in a queue like the one that the report shows.
+    pub(crate) fn reply_factor(self) -> f64 {
+        let rounds = f64::from(self.waiting) / f64::from(self.slots.max(1));
+        (1.0 + rounds) * self.service_factor().unwrap_or(1.0)
+    }
 }
 
 /// What an upstream says of itself in the head of a reply, whatever the outcome.
--- a/crates/core/src/forward_sends.rs
+++ b/crates/core/src/forward_sends.rs
@@ -77,7 +77,8 @@
             .reply_times
             .entry(Arc::clone(&route.name))
             .or_insert_with(|| ReplyTimes::new(objective));
-        let (upstream, is_trial) = self.choose_replica(now, flow_key, shard, &times, cause)?;
+        let placement = self.choose_replica(now, flow_key, shard, &times, cause)?;
+        let upstream = placement.upstream;
         if !matches!(cause, SendCause::Primary | SendCause::Resend) {
             let limits = self.extra_load_limits();
             let pool = &mut self.services[service];
@@ -96,6 +97,8 @@
                 instance: Arc::clone(&self.replicas[upstream].entry.instance),
                 cause: cause.name(),
                 budget_left: pool.extra.remaining(now, &limits),
+                expected: placement.expected,
+                report_age: placement.report_age,
             }));
         }
         let attempt = self.attempts.insert(ForwardAttempt {
@@ -107,7 +110,7 @@
         });
         let replica = &mut self.replicas[upstream];
         replica.record_send(now, attempt);
-        if is_trial {
+        if placement.is_trial {
             let change = replica.apply_event(
                 &self.replica_chart,
                 now,
@@ -132,6 +135,7 @@
             identity: flow.identity.clone(),
             deadline: flow.deadline,
             at_most_once: !route.idempotent,
+            report_age: placement.report_age,
         });
         Ok(())
     }
--- a/crates/core/src/replica.rs
+++ b/crates/core/src/replica.rs
@@ -1,6 +1,13 @@
 //! State and load of a registered upstream as seen by this node.
 
-use crate::{prelude::*, reply_times::ReplyTimes, upstream_notice::AbsentNotice};
+use crate::{
+    decay::decay,
+    load_estimate::{ExpectedLoad, LoadEstimate},
+    prelude::*,
+    replica_draw::Candidate,
+    reply_times::ReplyTimes,
+    upstream_notice::AbsentNotice,
+};
 use std::collections::VecDeque;
 
 /// Wait before the first trial request of a suspect; doubles after each failure.
@@ -15,9 +22,16 @@
 /// Weight of a new sample in the moving averages of slowness and failure rate.
 const SAMPLE_WEIGHT: f64 = 0.2;
 
-/// Age at which reported load is ignored.
+/// Age at which reported load no longer counts as known requests.
 const MAX_LOAD_AGE: Duration = Duration::from_millis(150);
 
+/// Time that a pause is expected to last beyond the time that it has lasted.
+const MIN_REMAINING_PAUSE_SECS: f64 = 0.05;
+
+/// Multiple of the expected reply time after which silence is taken for a pause, if the upstream reports its load: a
+/// reply that the queue delays is expected later.
+const REPORTED_LATE_RATIO: f64 = 1.25;
+
 /// Half-life of the failure rate, so that an upstream that has recovered receives requests again.
 const FAILURE_HALF_LIFE: Duration = Duration::from_secs(1);
 
@@ -70,7 +84,7 @@
     /// Share of recent attempts that failed, at `failures_updated_at`.
     failure_rate: f64,
     failures_updated_at: Timestamp,
-    load: Option<(Timestamp, ReportedLoad)>,
+    load: LoadEstimate,
     /// Whether it is leaving by its own word. The registry's entry, which may be older, brings it back only with a new
     /// start or after it has shown the upstream as leaving.
     announced_leaving: bool,
@@ -104,7 +118,7 @@
             slowness_updated_at: Timestamp::ZERO,
             failure_rate: 0.0,
             failures_updated_at: Timestamp::ZERO,
-            load: None,
+            load: LoadEstimate::default(),
             announced_leaving: false,
             rest_until: Timestamp::ZERO,
             avoid_until: Timestamp::ZERO,
@@ -172,6 +186,7 @@
                     self.may_have_restarted = false;
                     self.connection_losses = 0;
                     self.slowness = 1.0;
+                    self.load = LoadEstimate::default();
                     self.backoff = INITIAL_BACKOFF;
                 }
                 ReplicaAction::ExpectRestart => self.may_have_restarted = true,
@@ -219,18 +234,82 @@
 
     /// Expected time to a reply, plus the cost of its likely failure.
     pub(crate) fn expected_reply_secs(&self, now: Timestamp, times: &ReplyTimes) -> f64 {
-        let failing = self.failure_rate(now) * FAILURE_COST * times.objective_secs();
         let service_time = times.mean_secs() * self.slowness(now);
         // Prefers an idle upstream slightly to a busy one.
         let slots = self.entry.slots.max(1);
         let busy = f64::from(self.known_requests(now).min(slots)) / f64::from(slots) * 0.1;
         let time = service_time * (1.0 + self.rounds_ahead(now) + busy);
+        let late_after = times.late_after().mul_f64(self.slowness(now).max(1.0));
+        let pause = match self.silent_secs(now, late_after) {
+            Some(secs) => secs + MIN_REMAINING_PAUSE_SECS,
+            None => 0.0,
+        };
+        time + pause + self.failure_cost_secs(now, times)
+    }
+
+    /// Expected time to a reply, judged by its reports if it has sent any.
+    pub(crate) fn expected_reply(&self, now: Timestamp, times: &ReplyTimes) -> Duration {
+        let secs = if self.load.latest().is_some() {
+            self.expected_reported_secs(now, times)
+        } else {
+            self.expected_reply_secs(now, times)
+        };
+        duration_from_secs(secs)
+    }
+
+    /// Age of its latest load report.
+    pub(crate) fn report_age(&self, now: Timestamp) -> Option<Duration> {
+        self.load.latest().map(|(at, _)| now.since(at))
+    }
+
+    /// Its expected reply time and free capacity, judged by its reports.
+    pub(crate) fn candidate(
+        &self,
+        now: Timestamp,
+        upstream: UpstreamKey,
+        in_own_zone: bool,
+        times: &ReplyTimes,
+    ) -> Candidate {
+        let free_slots = self.expected_load(now).free_slots();
+        Candidate {
+            upstream,
+            in_own_zone,
+            expected_secs: self.expected_reported_secs(now, times),
+            free_capacity: free_slots / self.service_secs(now, times),
+        }
+    }
+
+    /// Expected time to a reply, judged by its reports, plus the cost of its likely failure.
+    fn expected_reported_secs(&self, now: Timestamp, times: &ReplyTimes) -> f64 {
+        let rounds_ahead = self.expected_load(now).rounds_ahead();
+        let time = self.service_secs(now, times) * (1.0 + rounds_ahead);
+        let late_after = duration_from_secs(time * REPORTED_LATE_RATIO);
+        let pause = self.silent_secs(now, late_after).unwrap_or(0.0);
+        time + pause + self.failure_cost_secs(now, times)
+    }
+
+    /// Service time, judged by its replies and its reports.
+    fn service_secs(&self, now: Timestamp, times: &ReplyTimes) -> f64 {
+        times.mean_secs() * self.slowness(now) * self.load.service_factor(now)
+    }
+
+    fn expected_load(&self, now: Timestamp) -> ExpectedLoad {
+        let reported_at = self.load.latest().map_or(Timestamp::ZERO, |(at, _)| at);
+        let sent_since = self.running.iter().filter(|(_, sent)| *sent >= reported_at);
+        let slots = self.entry.slots.max(1);
+        self.load
+            .expected_load(now, slots, sent_since.count(), self.running.len())
+    }
+
+    /// Cost of its likely failure, and of using it against another node's advice.
+    fn failure_cost_secs(&self, now: Timestamp, times: &ReplyTimes) -> f64 {
+        let failing = self.failure_rate(now) * FAILURE_COST * times.objective_secs();
         let advised_against = if self.avoid_until > now {
             ADVISED_AGAINST_COST_SECS
         } else {
             0.0
         };
-        time + self.remaining_pause_secs(now, times) + failing + advised_against
+        failing + advised_against
     }
 
     /// Whether a request gets through its queue and service within this time, or finds a slot free. Ignores slowness,
@@ -250,26 +329,19 @@
 
     /// Known requests in service or in its queue: the reported ones or this node's own, whichever are more.
     fn known_requests(&self, now: Timestamp) -> u32 {
-        let reported = match self.load {
-            Some((at, load)) if now.since(at) < MAX_LOAD_AGE => {
-                load.running.saturating_add(load.waiting)
-            }
+        let reported = match self.load.latest() {
+            Some((at, load)) if now.since(at) < MAX_LOAD_AGE => load.requests(),
             _ => 0,
         };
         reported.max(self.running.len() as u32)
     }
 
-    /// Expected remaining time of a pause: 0 unless it has been silent for longer than a reply takes.
-    fn remaining_pause_secs(&self, now: Timestamp, times: &ReplyTimes) -> f64 {
-        let Some(&(_, oldest)) = self.running.first() else {
-            return 0.0;
-        };
-        let silent = now.since(oldest.max(self.last_reply_at));
-        if silent <= times.late_after().mul_f64(self.slowness(now).max(1.0)) {
-            return 0.0;
-        }
-        // A pause that has lasted for some time is expected to last as long again.
-        silent.as_secs_f64() + 0.05
+    /// Time for which it has given no sign with attempts in flight, if that is longer than `late_after`. A pause that has
+    /// lasted for some time is expected to last as long again.
+    fn silent_secs(&self, now: Timestamp, late_after: Duration) -> Option<f64> {
+        let (_, oldest) = self.running.first()?;
+        let silent = now.since(self.last_reply_at.max(*oldest));
+        (silent > late_after).then_some(silent.as_secs_f64())
     }
 
     /// Share of recent attempts that failed, decayed since the last one.
@@ -329,10 +401,12 @@
             .position(|(key, _)| *key == end.attempt)?;
         let (_, sent) = self.running.remove(position);
         if let Some(load) = end.report.load {
-            self.load = Some((now, load));
+            self.load.record(now, load);
         }
         match &end.outcome {
             ForwardOutcome::Served(_) => {
+                let load = end.report.load.and_then(ReportedLoad::checked);
+                let usual_secs = usual_secs * load.map_or(1.0, ReportedLoad::reply_factor);
                 self.record_reply_time(now, now.since(sent), usual_secs);
                 Some(self.record_answer(now, 0.0))
             }
@@ -414,7 +488,7 @@
     }
 }
 
-/// Factor by which a value of this age has decayed.
-fn decay(age: Duration, half_life: Duration) -> f64 {
-    0.5_f64.powf(age.as_secs_f64() / half_life.as_secs_f64())
+/// The longest duration if the time is out of range.
+fn duration_from_secs(secs: f64) -> Duration {
+    Duration::try_from_secs_f64(secs).unwrap_or(Duration::MAX)
 }
--- a/crates/core/tests/forwarding/main.rs
+++ b/crates/core/tests/forwarding/main.rs
@@ -8,4 +8,5 @@
 mod notices;
 mod overload;
 mod replicas;
+mod reported_load;
 mod schedules;
--- a/crates/core/tests/forwarding/overload.rs
+++ b/crates/core/tests/forwarding/overload.rs
@@ -18,6 +18,7 @@
             running: 3,
             waiting,
             slots: 3,
+            service_percent: None,
         };
         harness.end_attempt_with_load(&sent, served_reply(LOW), Some(load));
     }
--- a/crates/node/src/forward_log.rs
+++ b/crates/node/src/forward_log.rs
@@ -20,8 +20,12 @@
             instance,
             cause,
             budget_left,
+            expected,
+            report_age,
         } => info!(log, "extra_attempt"; "request" => &**request, "service" => &**service,
-            "instance" => &**instance, "cause" => *cause, "budget_left" => *budget_left),
+            "instance" => &**instance, "cause" => *cause, "budget_left" => *budget_left,
+            "expected_ms" => expected.as_millis() as u64,
+            "report_age_ms" => report_age.map(|age| age.as_millis() as u64)),
         ForwardTelemetry::RefusedOverloaded {
             request,
             route,
@@ -100,17 +104,19 @@
             notice,
             service,
             from_peer,
-        } => {
-            let left = match notice.kind {
-                NoticeKind::Leaving => None,
-                NoticeKind::Resting { left } => Some(left.as_millis() as u64),
-            };
-            info!(log, "upstream_notice"; "instance" => &*notice.instance,
-                "service" => service.as_deref().unwrap_or("none"), "kind" => notice.kind.name(),
-                "left_ms" => left, "told" => *from_peer, "age_ms" => notice.age.as_millis() as u64);
-        }
+        } => write_notice(log, notice, service.as_deref(), *from_peer),
         ForwardTelemetry::ConfigurationApplied { version, routes } => {
             info!(log, "configuration_in_force"; "version" => *version, "routes" => *routes);
         }
     }
 }
+
+fn write_notice(log: &Logger, notice: &UpstreamNotice, service: Option<&str>, from_peer: bool) {
+    let left = match notice.kind {
+        NoticeKind::Leaving => None,
+        NoticeKind::Resting { left } => Some(left.as_millis() as u64),
+    };
+    info!(log, "upstream_notice"; "instance" => &*notice.instance,
+        "service" => service.unwrap_or("none"), "kind" => notice.kind.name(),
+        "left_ms" => left, "told" => from_peer, "age_ms" => notice.age.as_millis() as u64);
+}
--- a/crates/node/src/forward_metrics.rs
+++ b/crates/node/src/forward_metrics.rs
@@ -1,17 +1,21 @@
 //! Prometheus metrics of forwarded requests.
 
 use crate::prelude::*;
-use prometheus::{HistogramOpts, HistogramVec, IntCounterVec, Opts, Registry};
+use prometheus::{Histogram, HistogramOpts, HistogramVec, IntCounterVec, Opts, Registry};
 
 /// Upper bounds of the histogram buckets for answer times, in seconds.
 const ANSWER_SECONDS_BUCKETS: [f64; 12] = [
     0.005, 0.01, 0.02, 0.04, 0.06, 0.08, 0.12, 0.25, 0.5, 1.0, 2.0, 5.0,
 ];
 
+/// Upper bounds of the histogram buckets for the age of load reports, in seconds.
+const REPORT_AGE_SECONDS_BUCKETS: [f64; 8] = [0.01, 0.03, 0.1, 0.2, 0.5, 1.0, 3.0, 10.0];
+
 /// Counters and histograms of forwarded requests, as shown at `/metrics`.
 #[derive(Clone, Debug)]
 pub struct ForwardMetrics {
     answer_seconds: HistogramVec,
+    report_age_seconds: Histogram,
     attempts: IntCounterVec,
     extra_attempts: IntCounterVec,
     given_up: IntCounterVec,
@@ -41,8 +45,16 @@
             &["outcome"],
         )?;
         registry.register(Box::new(answer_seconds.clone()))?;
+        let options = HistogramOpts::new(
+            "medlarpost_forward_report_age_seconds",
+            "Age of the load report of the upstream that an attempt is sent to",
+        );
+        let report_age_seconds =
+            Histogram::with_opts(options.buckets(REPORT_AGE_SECONDS_BUCKETS.to_vec()))?;
+        registry.register(Box::new(report_age_seconds.clone()))?;
         Ok(Self {
             answer_seconds,
+            report_age_seconds,
             attempts: counter(
                 "medlarpost_forward_attempts_total",
                 "Attempts at upstreams that ended, by outcome",
@@ -71,6 +83,11 @@
         })
     }
 
+    /// Records the age of the load report by which an upstream was chosen.
+    pub(crate) fn record_report_age(&self, age: Duration) {
+        self.report_age_seconds.observe(age.as_secs_f64());
+    }
+
     /// Counts an attempt that ended, by outcome.
     pub(crate) fn record_attempt_end(&self, outcome: &str) {
         self.attempts.with_label_values(&[outcome]).inc();
--- a/crates/node/src/forward_task.rs
+++ b/crates/node/src/forward_task.rs
@@ -236,7 +236,11 @@
                 identity,
                 deadline,
                 at_most_once,
+                report_age,
             } => {
+                if let Some(age) = report_age {
+                    self.parts.metrics.record_report_age(age);
+                }
                 let job = ForwardJob {
                     attempt,
                     request,
