--- a/crates/core/src/forward_admission.rs
+++ b/crates/core/src/forward_admission.rs
@@ -47,7 +47,8 @@
 /// Why a request is refused before anything is sent.
 struct Rejection {
     refusal: ForwardRefusal,
-    telemetry: Option<ForwardTelemetry>,
+    /// Boxed to keep the error small.
+    telemetry: Option<Box<ForwardTelemetry>>,
 }
 
 impl Rejection {
@@ -62,7 +63,7 @@
     fn unavailable(retry_after: Duration, telemetry: ForwardTelemetry) -> Self {
         Self {
             refusal: ForwardRefusal::Unavailable { retry_after },
-            telemetry: Some(telemetry),
+            telemetry: Some(Box::new(telemetry)),
         }
     }
 }
@@ -79,7 +80,11 @@
         let admission = match self.check_admission(now, arrival, commands) {
             Ok(admission) => admission,
             Err(rejection) => {
-                commands.extend(rejection.telemetry.map(ForwardCommand::Record));
+                commands.extend(
+                    rejection
+                        .telemetry
+                        .map(|telemetry| ForwardCommand::Record(*telemetry)),
+                );
                 return commands.push(ForwardCommand::Answer {
                     caller: arrival.caller,
                     answer: ForwardAnswer::Refused(rejection.refusal),
@@ -243,7 +248,7 @@
             };
             Rejection {
                 refusal: ForwardRefusal::Unauthenticated,
-                telemetry: Some(telemetry),
+                telemetry: Some(Box::new(telemetry)),
             }
         })
     }
--- a/crates/core/tests/forwarding/identification.rs
+++ b/crates/core/tests/forwarding/identification.rs
@@ -284,6 +284,7 @@
         running: 3,
         waiting,
         slots: 3,
+        service_percent: None,
     };
     harness.end_attempt_with_load(&sent, served_reply(LOW), Some(load));
     harness.take_answers();
--- a/crates/core/tests/forwarding/main.rs
+++ b/crates/core/tests/forwarding/main.rs
@@ -10,6 +10,7 @@
 mod overload;
 mod quotas;
 mod replicas;
+mod reported_load;
 mod schedules;
 mod shutdown;
 mod turns;
--- a/crates/node/src/forward_log.rs
+++ b/crates/node/src/forward_log.rs
@@ -21,8 +21,12 @@
             instance,
             cause,
             budget_left,
+            expected,
+            report_age,
         } => info!(log, "extra_attempt"; "request" => &**request, "service" => &**service,
-            "instance" => &**instance, "cause" => *cause, "budget_left" => *budget_left),
+            "instance" => &**instance, "cause" => *cause, "budget_left" => *budget_left,
+            "expected_ms" => expected.as_millis() as u64,
+            "report_age_ms" => report_age.map(|age| age.as_millis() as u64)),
         ForwardTelemetry::RefusedOverloaded {
             request,
             route,
