--- a/crates/core/tests/placement/fleet.rs
+++ b/crates/core/tests/placement/fleet.rs
@@ -209,7 +209,15 @@
         let node = self.pick_node();
         let caller = self.callers.insert(self.now);
         let request = Arc::new(request());
-        self.tell(node, ForwardEvent::RequestArrived { caller, request });
+        let arrived_at = BootTime::default();
+        self.tell(
+            node,
+            ForwardEvent::RequestArrived {
+                caller,
+                request,
+                arrived_at,
+            },
+        );
     }
 
     fn pick_node(&mut self) -> usize {
@@ -343,10 +351,12 @@
             extra_slack: 50.0,
             extra_window: Duration::from_secs(10),
             cold_excess: 1.5,
+            quotas: None,
             cold_slack: 5.0,
         },
         cross_zone_cost: 0.5,
         answer_margin: Duration::from_millis(10),
+        revoke_within: None,
         initial_fleet_size: case.nodes as u32,
         seed,
     }
