--- a/crates/core/src/workspace_quotas.rs
+++ b/crates/core/src/workspace_quotas.rs
@@ -35,7 +35,7 @@
     /// Quotas of the configuration in force, by workspace.
     quotas: HashMap<Arc<str>, Quota>,
     /// Shares of the workspaces that had requests lately.
-    shares: HashMap<Arc<str>, QuotaShare>,
+    shares: BTreeMap<Arc<str>, QuotaShare>,
     /// Requests that wait for a reply, by workspace.
     waiting: HashMap<Arc<str>, u32>,
     /// Exchange with each node that was asked lately.
@@ -76,7 +76,7 @@
             fleet: QuotaFleet::new(now, limits.window),
             owner: QuotaOwner::default(),
             quotas: HashMap::new(),
-            shares: HashMap::new(),
+            shares: BTreeMap::new(),
             waiting: HashMap::new(),
             contacts: HashMap::new(),
             next_id: 0,
