--- a/crates/core/tests/forwarding/turns.rs
+++ b/crates/core/tests/forwarding/turns.rs
@@ -43,6 +43,7 @@
             running: 3,
             waiting,
             slots: 3,
+            service_percent: None,
         };
         harness.end_attempt_with_load(sent, served_reply(LOW), Some(load));
     }
