Assume a smaller deviation of reply times after the first reply

Cause: after one reply, a booking was given twice its time, and the second of two queued bookings was refused during a shutdown although there was time for it (platform test `queued_requests_on_one_connection_are_all_answered`, which sent its requests later than there is time for).

--- a/crates/core/src/reply_times.rs
+++ b/crates/core/src/reply_times.rs
@@ -8,6 +8,9 @@
 /// Weight of a new sample in the averages of the last few replies.
 const RECENT_SAMPLE_WEIGHT: f64 = 0.2;
 
+/// Deviation assumed after the first reply, as a share of its time.
+const FIRST_DEVIATION_SHARE: f64 = 0.25;
+
 /// Mean absolute deviations above the recent mean within which nearly all replies come.
 const SAFE_DEVIATIONS: f64 = 2.0;
 
@@ -46,7 +49,7 @@
     fn first(secs: f64) -> Self {
         Self {
             mean: secs,
-            deviation: secs / 2.0,
+            deviation: FIRST_DEVIATION_SHARE * secs,
         }
     }
 
