Let the soak's store refuse calls for longer than the bound

Change: the store refuses calls for up to 15 s, and a configuration is published once no watch waits any more; a store that stands still acknowledges nothing.

--- a/crates/medlarctl/src/soak_history.rs
+++ b/crates/medlarctl/src/soak_history.rs
@@ -1,7 +1,7 @@
 //! What a soak test did to its fleet, and when. The checks derive from it what was allowed at a given time.
 
 use crate::{soak_keys::KeyHolders, soak_observation::SoakTime};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Bounds that the settings of the nodes state. Times are in microseconds.
 #[derive(Clone, Copy, Debug)]
@@ -87,6 +87,8 @@
     pub node_disturbances: Vec<Vec<(Disturbance, TimeSpan)>>,
     /// Times in which the store was disturbed for all nodes.
     pub store_disturbances: Vec<TimeSpan>,
+    /// Positions in `store_disturbances` of those in which the store stood still, and took no new configuration.
+    pub store_pauses: BTreeSet<usize>,
     /// Times in which an upstream or the link to it was disturbed, by position.
     pub upstream_disturbances: BTreeMap<usize, Vec<TimeSpan>>,
     /// Instances of upstreams by name.
--- a/crates/medlarctl/src/soak_keys.rs
+++ b/crates/medlarctl/src/soak_keys.rs
@@ -118,7 +118,8 @@
     configuration: &PublishedConfiguration,
 ) -> Option<SoakTime> {
     let published_at = configuration.published_at;
-    let mut pauses = history.store_disturbances.iter();
+    let pauses = history.store_pauses.iter();
+    let mut pauses = pauses.map(|pause| history.store_disturbances[*pause]);
     let pause = pauses.find(|pause| {
         pause.from <= published_at && pause.until.is_none_or(|until| until >= published_at)
     });
--- a/crates/medlarctl/src/soak_run.rs
+++ b/crates/medlarctl/src/soak_run.rs
@@ -56,6 +56,10 @@
     ReturnZone(&'static str),
 }
 
+/// Time after which no watch waits any more at a store that refuses calls. A configuration that is published then is
+/// known to no node until the store answers again.
+const LONGEST_WATCH: Duration = Duration::from_millis(2_500);
+
 /// An action that is scheduled for a time.
 #[derive(Clone, Debug)]
 enum ScheduledAction {
@@ -308,10 +312,13 @@
                 let command = StoreCommand::Fault(StoreFault::Busy);
                 self.fleet.send_store_command(&command).await;
                 self.begin_store_disturbance(time);
+                let publish = ScheduledAction::Begin(SoakFault::PublishConfiguration);
+                self.schedule_at(Instant::now() + LONGEST_WATCH, publish);
             }
             SoakFault::PauseStore(time) => {
                 self.fleet.signal_store(Signal::STOP);
-                self.begin_store_disturbance(time);
+                let pause = self.begin_store_disturbance(time);
+                self.fleet.history.store_pauses.insert(pause);
             }
             SoakFault::CompactStore => {
                 self.fleet.send_store_command(&StoreCommand::Compact).await;
@@ -454,10 +461,12 @@
         Ok(())
     }
 
-    fn begin_store_disturbance(&mut self, time: Duration) {
+    /// Records a fault of the store; returns its position among them.
+    fn begin_store_disturbance(&mut self, time: Duration) -> usize {
         self.fleet.history.store_disturbances.push(span_from_now());
         let span = self.fleet.history.store_disturbances.len() - 1;
         self.schedule_end(time, FaultEnd::RestoreStore(span));
+        span
     }
 
     fn begin_upstream_disturbance(&mut self, upstream: usize) -> usize {
--- a/crates/medlarctl/src/soak_schedule.rs
+++ b/crates/medlarctl/src/soak_schedule.rs
@@ -13,8 +13,9 @@
 /// Duration of a fault, in milliseconds.
 const FAULT_DURATION_MS: std::ops::Range<u64> = 300..5_000;
 
-/// Factor on the duration of a fault between a node and the store, so that some last longer than the bound on revocation.
-const STORE_LINK_FACTOR: u32 = 2;
+/// Factor on the time for which the store refuses calls or a node can't reach it, so that some of these faults last longer
+/// than the bound on revocation.
+const STORE_FAULT_FACTOR: u32 = 3;
 
 /// Delay of a slowed link, in milliseconds.
 const LINK_DELAY_MS: std::ops::Range<u64> = 20..300;
@@ -60,11 +61,11 @@
         6 | 7 => SoakFault::ReplaceUpstream(upstream),
         8 => SoakFault::PauseUpstream(upstream, time),
         9..=11 => SoakFault::Misbehave(upstream, random_misbehaviour(random), time),
-        12 => SoakFault::RefuseStoreCalls(time),
+        12 => SoakFault::RefuseStoreCalls(time * STORE_FAULT_FACTOR),
         13 => SoakFault::PauseStore(time),
         14 => SoakFault::CompactStore,
         15 => {
-            let time = time * STORE_LINK_FACTOR;
+            let time = time * STORE_FAULT_FACTOR;
             SoakFault::StoreLink(node, random_link_fault(random), time)
         }
         16 | 17 => SoakFault::UpstreamLink(upstream, random_link_fault(random), time),
