--- a/crates/medlarctl/src/soak_schedule.rs
+++ b/crates/medlarctl/src/soak_schedule.rs
@@ -13,8 +13,12 @@
 /// Duration of a fault, in milliseconds.
 const FAULT_DURATION_MS: std::ops::Range<u64> = 300..5_000;
 
-/// Duration of a fault of the link to the store, in milliseconds.
-const STORE_LINK_FAULT_MS: std::ops::Range<u64> = 100..9_000;
+/// Duration of a fault of the link to the store, in milliseconds. Some last longer than the bound on revocation.
+const STORE_LINK_FAULT_MS: std::ops::Range<u64> = 100..15_000;
+
+/// Factor on the time for which the store refuses calls, so that some of these faults last longer than the bound on
+/// revocation.
+const STORE_REFUSAL_FACTOR: u32 = 3;
 
 /// Number of cuts of watches in a row.
 const WATCH_CUTS: std::ops::Range<u32> = 1..8;
@@ -63,7 +67,7 @@
         6 | 7 => SoakFault::ReplaceUpstream(upstream),
         8 => SoakFault::PauseUpstream(upstream, time),
         9..=11 => SoakFault::Misbehave(upstream, random_misbehaviour(random), time),
-        12 => SoakFault::RefuseStoreCalls(time),
+        12 => SoakFault::RefuseStoreCalls(time * STORE_REFUSAL_FACTOR),
         13 => SoakFault::PauseStore(time),
         14 => SoakFault::CompactStore,
         15 | 21 => {
