Prefer replicas below this node's share of connections

Cause: each node could use 4 connections to an upstream whatever the fleet's size; 70 nodes opened up to 214 to an upstream that accepts 77, nearly all during its pauses, and it resets those beyond its cap. Change: a replica to which this node uses fewer connections than its share, at least one, is preferred to one that has reached it; in fleets with more nodes than connections a node uses 2 at most instead of 4. Ruled out: 6 ms of cost for a replica without an idle connection of this node, which changed the connections over the cap by 0.1% of the attempts at most.

--- a/crates/core/src/forward_placement.rs
+++ b/crates/core/src/forward_placement.rs
@@ -103,13 +103,18 @@
         times: &ReplyTimes,
     ) -> Option<UpstreamKey> {
         let settings = self.service_settings(service);
-        let connections = self.max_connections_in_use(&settings);
         let cold_sends = self.max_cold_sends(&settings);
-        let accepting = allowed
-            .iter()
-            .map(|key| (*key, &self.replicas[*key]))
-            .filter(|(_, replica)| replica.accepts_work(now, connections, cold_sends));
-        let accepting: Vec<_> = accepting.collect();
+        let accepting_with = |connections: u32| -> Vec<_> {
+            let replicas = allowed.iter().map(|key| (*key, &self.replicas[*key]));
+            replicas
+                .filter(|(_, replica)| replica.accepts_work(now, connections, cold_sends))
+                .collect()
+        };
+        let limits = self.connection_limits(&settings);
+        let mut accepting = accepting_with(limits.preferred);
+        if accepting.is_empty() {
+            accepting = accepting_with(limits.most);
+        }
         let zone_cost = self.settings.cross_zone_cost * times.objective_secs();
         let in_own_zone = |replica: &Replica| replica.entry.zone == self.settings.zone;
         if accepting
--- a/crates/core/src/forwarder.rs
+++ b/crates/core/src/forwarder.rs
@@ -22,10 +22,14 @@
 /// Share of an upstream's connections that the fleet uses.
 const CONNECTION_SHARE: f64 = 0.8;
 
-/// Connections to an upstream that a node may always use at a time. In a large fleet this exceeds a node's share, but
-/// few nodes use the same upstream at the same moment, so the upstream's limit still holds.
+/// Connections to an upstream that a node may always use at a time. This exceeds a node's share in a large fleet, but few
+/// nodes use the same upstream at the same moment.
 const MIN_CONNECTIONS_IN_USE: u32 = 4;
 
+/// The same in a fleet with more nodes than an upstream has connections for, which its nodes would exceed together while
+/// it is paused.
+const MIN_CONNECTIONS_IN_LARGE_FLEET: u32 = 2;
+
 /// Share of a cold upstream's rate that the fleet uses.
 const COLD_RATE_SHARE: f64 = 0.8;
 
@@ -101,6 +105,15 @@
     pub(crate) replica_chart: Chart<ReplicaMachine>,
 }
 
+/// Connections to one upstream that a node uses at a time.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ConnectionLimits {
+    /// Number up to which a replica is preferred to those that have reached it.
+    pub(crate) preferred: u32,
+    /// Number that is not exceeded.
+    pub(crate) most: u32,
+}
+
 /// Replicas of one service and the budget of its extra requests.
 #[derive(Debug)]
 pub(crate) struct ServicePool {
@@ -418,10 +431,19 @@
         }
     }
 
-    /// This node's share of the connections of an upstream.
-    pub(crate) fn max_connections_in_use(&self, settings: &ServiceSettings) -> u32 {
+    /// This node's share of the connections of an upstream, at least one.
+    pub(crate) fn connection_limits(&self, settings: &ServiceSettings) -> ConnectionLimits {
         let all = f64::from(settings.max_connections) * CONNECTION_SHARE;
-        ((all / f64::from(self.fleet_size)) as u32).max(MIN_CONNECTIONS_IN_USE)
+        let share = (all / f64::from(self.fleet_size)) as u32;
+        let min = if share == 0 {
+            MIN_CONNECTIONS_IN_LARGE_FLEET
+        } else {
+            MIN_CONNECTIONS_IN_USE
+        };
+        ConnectionLimits {
+            preferred: share.max(1),
+            most: share.max(min),
+        }
     }
 
     /// This node's share of the requests that a cold upstream receives in one window.
--- a/crates/core/tests/placement/figures.rs
+++ b/crates/core/tests/placement/figures.rs
@@ -17,6 +17,11 @@
     pub refused: usize,
     pub max_queue: usize,
     pub sent: usize,
+    /// Connections that were opened.
+    opened: usize,
+    /// Those beyond what the upstream accepts, which it would reset.
+    opened_over_limit: usize,
+    max_open: usize,
     pub sent_to_other_zones: usize,
 }
 
@@ -40,6 +45,13 @@
         self.max_queue = self.max_queue.max(longest.unwrap_or_default());
     }
 
+    /// Adds a new connection to an upstream that has now so many.
+    pub fn add_opened(&mut self, open: usize, limit: u32) {
+        self.opened += 1;
+        self.opened_over_limit += usize::from(open > limit as usize);
+        self.max_open = self.max_open.max(open);
+    }
+
     pub fn add_latency(&mut self, latency: Duration) {
         self.latencies.push(latency.as_micros() as u64);
     }
@@ -67,6 +79,11 @@
         self.refused as f64 / (self.refused + self.latencies.len()) as f64
     }
 
+    /// Attempts on a connection that the upstream would reset, as a share of all.
+    pub fn share_over_limit(&self) -> f64 {
+        self.opened_over_limit as f64 / self.sent as f64
+    }
+
     pub fn cross_zone_share(&self) -> f64 {
         self.sent_to_other_zones as f64 / self.sent as f64
     }
@@ -77,12 +94,15 @@
         let (p50, p99) = (self.quantile_ms(0.5), self.quantile_ms(0.99));
         write!(
             f,
-            "idle {:.3} wasted {:.4} p50 {p50:.1} p99 {p99:.1} max queue {} refused {:.4} other zone {:.3}",
+            "idle {:.3} wasted {:.4} p50 {p50:.1} p99 {p99:.1} max queue {} refused {:.4} other zone {:.3} opened {:.4} over {:.4} max open {}",
             self.idle_share(),
             self.wasted_share(),
             self.max_queue,
             self.refused_share(),
             self.cross_zone_share(),
+            self.opened as f64 / self.sent as f64,
+            self.share_over_limit(),
+            self.max_open,
         )
     }
 }
--- a/crates/core/tests/placement/fleet.rs
+++ b/crates/core/tests/placement/fleet.rs
@@ -1,6 +1,7 @@
 //! A fleet of forwarders, each with its own view of the upstreams that all of them use.
 
 use crate::{
+    connections::Connections,
     figures::Figures,
     upstream_model::{Job, UpstreamModel},
 };
@@ -19,6 +20,8 @@
 const MANY_UPSTREAMS: usize = 20;
 /// Time of a message between a node and an upstream.
 const NETWORK_DELAY: Duration = Duration::from_micros(400);
+/// Time to open a connection.
+const CONNECT_DELAY: Duration = Duration::from_millis(6);
 /// Share of the capacity of all upstreams that the callers use.
 const LOAD_SHARE: f64 = 0.65;
 /// Share of an upstream's capacity that is left beside slow spells and pauses.
@@ -48,6 +51,8 @@
     /// Mean time between two replies of an upstream to the same node, which decides the service time.
     pub report_age_ms: u64,
     pub layout: Layout,
+    /// Connections that an upstream accepts from all nodes.
+    pub max_connections: u32,
 }
 
 impl fmt::Display for Case {
@@ -94,7 +99,10 @@
     nodes: Vec<Node>,
     upstreams: Vec<UpstreamModel>,
     jobs: Vec<Job>,
-    replies: Vec<(Job, ReportedLoad)>,
+    /// Replies with the upstreams that wrote them.
+    replies: Vec<(Job, usize, ReportedLoad)>,
+    connections: Connections,
+    max_connections: u32,
     callers: SlotMap<CallerKey, Timestamp>,
     gap_micros: f64,
     service_micros: f64,
@@ -152,6 +160,8 @@
             upstreams,
             jobs: Vec::new(),
             replies: Vec::new(),
+            connections: Connections::default(),
+            max_connections: case.max_connections,
             callers: SlotMap::with_key(),
             gap_micros: 1e6 / replies_per_sec,
             service_micros: service_secs * 1e6,
@@ -180,7 +190,8 @@
             Event::Finished(upstream, job) => self.finish(upstream, job),
             Event::Resume(upstream) => self.start_jobs(upstream),
             Event::AtNode(reply) => {
-                let (job, load) = self.replies[reply];
+                let (job, upstream, load) = self.replies[reply];
+                self.connections.give_back(self.now, job.node, upstream);
                 let end = AttemptEnd {
                     attempt: job.attempt,
                     outcome: ForwardOutcome::Served(reply_without_body()),
@@ -247,7 +258,7 @@
         self.upstreams[upstream].running -= 1;
         self.start_jobs(upstream);
         let report = self.upstreams[upstream].report(self.now);
-        self.replies.push((self.jobs[job], report));
+        self.replies.push((self.jobs[job], upstream, report));
         let reply = self.replies.len() - 1;
         self.push(self.now + NETWORK_DELAY, Event::AtNode(reply));
     }
@@ -290,7 +301,16 @@
             work_micros,
         });
         let job = self.jobs.len() - 1;
-        self.push(self.now + NETWORK_DELAY, Event::AtUpstream(upstream, job));
+        let is_new = self.connections.take(self.now, node, upstream);
+        let mut delay = NETWORK_DELAY;
+        if is_new {
+            delay += CONNECT_DELAY;
+            let open = self.connections.open(self.now, upstream);
+            if self.is_measuring() {
+                self.figures.add_opened(open, self.max_connections);
+            }
+        }
+        self.push(self.now + delay, Event::AtUpstream(upstream, job));
     }
 
     fn answer(&mut self, caller: CallerKey, answer: &ForwardAnswer) {
@@ -316,7 +336,10 @@
         .expect("embedded charts are valid");
     let mut commands = Vec::new();
     let mut tell = |event| forwarder.handle(Timestamp::ZERO, event, &mut commands);
-    tell(ForwardEvent::Configured(table(objective)));
+    tell(ForwardEvent::Configured(table(
+        objective,
+        case.max_connections,
+    )));
     for upstream in 0..case.upstreams {
         let zone = ZONES[zone_of(upstream)];
         tell(ForwardEvent::UpstreamRegistered(entry(upstream, zone)));
@@ -352,7 +375,7 @@
     }
 }
 
-fn table(objective: Duration) -> Arc<RoutingTable> {
+fn table(objective: Duration, max_connections: u32) -> Arc<RoutingTable> {
     let route = Route {
         name: "a".into(),
         host: "search.example".to_owned(),
@@ -367,7 +390,7 @@
         target: Target::Service("desk".into()),
     };
     let service = ServiceSettings {
-        max_connections: 100_000,
+        max_connections,
         warm_up: Duration::ZERO,
         cold_rate: None,
     };
--- a/crates/core/tests/placement/goals.rs
+++ b/crates/core/tests/placement/goals.rs
@@ -42,6 +42,7 @@
         upstreams,
         report_age_ms,
         layout: Layout::OneZone,
+        max_connections: 100_000,
     }
 }
 
@@ -121,6 +122,20 @@
     assert_at_most(case(70, 6, 200), NO_MORE, SEVENTY_NODES_SIX_UPSTREAMS);
 }
 
+/// Guards against connections beyond what an upstream accepts, which it resets, in a fleet as large as that.
+#[test]
+fn seventy_nodes_open_few_connections_beyond_the_limit() {
+    let case = Case {
+        max_connections: 77,
+        ..case(70, 6, 200)
+    };
+
+    let figures = fleet::run(case, 12);
+
+    println!("{case} seed 12: {figures}");
+    assert!(figures.share_over_limit() < 0.01, "{figures}");
+}
+
 /// Guards against uneven load in large fleets whose reports are outdated. The goal is a third less than before.
 #[test]
 #[ignore = "KNOWN-RED.txt: the 99th percentile with three upstreams misses the goal"]
