Weigh failures more in the draw, and prefer unused connections in large fleets only

Upstreams that shed were drawn again as soon as their failures had faded to a few in a hundred, and at a share of one connection a busy replica of the own zone gave way to any other. Change: the cost of a likely failure counts five times in the draw; the preference for replicas without a connection holds only where nodes outnumber connections.

--- a/crates/core/src/forwarder.rs
+++ b/crates/core/src/forwarder.rs
@@ -483,18 +483,21 @@
         }
     }
 
-    /// This node's share of the connections of an upstream, at least one.
+    /// Connections to one upstream that this node uses. In a fleet with more nodes than connections, replicas to which it has
+    /// none are preferred.
     pub(crate) fn connection_limits(&self, settings: &ServiceSettings) -> ConnectionLimits {
         let all = f64::from(settings.max_connections) * CONNECTION_SHARE;
         let share = (all / f64::from(self.fleet_size)) as u32;
-        let min = if share == 0 {
-            MIN_CONNECTIONS_IN_LARGE_FLEET
-        } else {
-            MIN_CONNECTIONS_IN_USE
-        };
+        if share == 0 {
+            return ConnectionLimits {
+                preferred: 1,
+                most: MIN_CONNECTIONS_IN_LARGE_FLEET,
+            };
+        }
+        let most = share.max(MIN_CONNECTIONS_IN_USE);
         ConnectionLimits {
-            preferred: share.max(1),
-            most: share.max(min),
+            preferred: most,
+            most,
         }
     }
 
--- a/crates/core/src/replica.rs
+++ b/crates/core/src/replica.rs
@@ -275,6 +275,7 @@
             upstream,
             in_own_zone,
             expected_secs: self.expected_reported_secs(now, times),
+            failure_secs: self.failure_cost_secs(now, times),
             free_capacity: free_slots / self.service_secs(now, times),
         }
     }
--- a/crates/core/src/replica_draw.rs
+++ b/crates/core/src/replica_draw.rs
@@ -12,6 +12,10 @@
 /// Difference of the expected times at which a weight falls to 1/e, as a share of the usual reply time.
 const SPREAD_SHARE: f64 = 0.4;
 
+/// Additional weight of the cost of a likely failure. Recent failures are known, unlike the load, and trying the upstream
+/// again spends the budget of extra attempts.
+const FAILURE_FACTOR: f64 = 4.0;
+
 /// Share of the latency objective from which an expected reply is probably late.
 const LATE_SHARE: f64 = 0.75;
 
@@ -22,6 +26,8 @@
     pub(crate) in_own_zone: bool,
     /// Expected time to its reply, with the cost of its likely failure.
     pub(crate) expected_secs: f64,
+    /// Cost of its likely failure alone.
+    pub(crate) failure_secs: f64,
     /// Requests a second that its free slots can take.
     pub(crate) free_capacity: f64,
 }
@@ -46,7 +52,7 @@
     let eligible = eligible(candidates, times);
     let lowest = lowest_expected(&eligible)?;
     let weight = |candidate: &Candidate| {
-        let excess = candidate.expected_secs - lowest;
+        let excess = candidate.expected_secs - lowest + candidate.failure_secs * FAILURE_FACTOR;
         let spread = times.usual * SPREAD_SHARE;
         candidate.free_capacity.powi(FREE_CAPACITY_POWER) * (-excess / spread).exp()
     };
