--- a/crates/core/src/forward_admission.rs
+++ b/crates/core/src/forward_admission.rs
@@ -2,7 +2,6 @@
 
 use crate::{
     forward_flow::{Flow, ShardAttempts, ShardMerge},
-    forward_quota::QuotaCharge,
     prelude::*,
     record_merge::RecordMerge,
 };
@@ -36,12 +35,14 @@
 }
 
 /// What the admission of a request has found out about it.
-struct Admission {
-    table: Arc<RoutingTable>,
-    route: RouteIndex,
-    identity: CallerIdentity,
-    shards: Vec<ShardAttempts>,
-    deadline: AnswerDeadline,
+#[derive(Debug)]
+pub(crate) struct Admission {
+    pub(crate) arrived_at: Timestamp,
+    pub(crate) table: Arc<RoutingTable>,
+    pub(crate) route: RouteIndex,
+    pub(crate) identity: CallerIdentity,
+    pub(crate) shards: Vec<ShardAttempts>,
+    pub(crate) deadline: AnswerDeadline,
 }
 
 /// Why a request is refused before anything is sent.
@@ -69,36 +70,39 @@
 }
 
 impl Forwarder {
-    /// Admits or refuses a request. One whose quota is not known yet waits, and is admitted again once it is.
+    /// Admits or refuses a request. One whose quota is not known yet waits, and is sent once it is.
     pub(crate) fn admit_request(
         &mut self,
         now: Timestamp,
         arrival: &Arrival,
-        charge: QuotaCharge,
         commands: &mut Vec<ForwardCommand>,
     ) {
         let admission = match self.check_admission(now, arrival, commands) {
             Ok(admission) => admission,
-            Err(rejection) => {
-                commands.extend(
-                    rejection
-                        .telemetry
-                        .map(|telemetry| ForwardCommand::Record(*telemetry)),
-                );
-                return commands.push(ForwardCommand::Answer {
-                    caller: arrival.caller,
-                    answer: ForwardAnswer::Refused(rejection.refusal),
-                });
-            }
+            Err(rejection) => return reject(arrival, rejection, commands),
         };
         // After the other refusals, so that a request which does not run is not charged.
+        if let Some(admission) = self.charge_quota(now, arrival, admission, commands) {
+            self.start_flow(now, arrival, admission, commands);
+        }
+    }
+
+    /// Sends a request that has waited for its quota, unless the node has begun to shut down meanwhile.
+    pub(crate) fn resume_request(
+        &mut self,
+        now: Timestamp,
+        arrival: &Arrival,
+        mut admission: Admission,
+        commands: &mut Vec<ForwardCommand>,
+    ) {
+        if let Some(schedule) = self.shutdown {
+            admission.deadline.apply_shutdown(schedule);
+        }
         let route = admission.table.route(admission.route);
-        if charge == QuotaCharge::Due
-            && !self.charge_quota(now, arrival, (&admission.identity, route), commands)
-        {
-            return;
+        match self.check_shutdown(now, route, &arrival.request, admission.deadline) {
+            Ok(()) => self.start_flow(now, arrival, admission, commands),
+            Err(rejection) => reject(arrival, rejection, commands),
         }
-        self.start_flow(now, arrival, admission, commands);
     }
 
     /// Decides whether a request can be sent, but for its quota.
@@ -155,15 +159,9 @@
             .time_left
             .saturating_sub(self.settings.answer_margin);
         let deadline = AnswerDeadline::new(now + wait.min(route.timeout), self.shutdown);
-        if let Some(retry_after) = self.shutdown_refusal(now, route, deadline) {
-            let telemetry = ForwardTelemetry::RefusedStopping {
-                request: request_id(),
-                route: route_name(),
-                time_left: deadline.at().since(now),
-            };
-            return Err(Rejection::unavailable(retry_after, telemetry));
-        }
+        self.check_shutdown(now, route, request, deadline)?;
         Ok(Admission {
+            arrived_at: now,
             table,
             route: index,
             identity,
@@ -172,6 +170,25 @@
         })
     }
 
+    /// Refuses a request that could not be answered before a shutdown ends.
+    fn check_shutdown(
+        &self,
+        now: Timestamp,
+        route: &Route,
+        request: &ForwardRequest,
+        deadline: AnswerDeadline,
+    ) -> Result<(), Rejection> {
+        let Some(retry_after) = self.shutdown_refusal(now, route, deadline) else {
+            return Ok(());
+        };
+        let telemetry = ForwardTelemetry::RefusedStopping {
+            request: Arc::clone(&request.id),
+            route: Arc::clone(&route.name),
+            time_left: deadline.at().since(now),
+        };
+        Err(Rejection::unavailable(retry_after, telemetry))
+    }
+
     /// Sends an admitted request to its shards.
     fn start_flow(
         &mut self,
@@ -195,8 +212,8 @@
         let flow = self.flows.insert(Flow {
             state: self.flow_chart.initial(),
             caller,
-            started_at: now,
-            accept_partial_at: now + objective,
+            started_at: admission.arrived_at,
+            accept_partial_at: admission.arrived_at + objective,
             deadline: admission.deadline,
             accepts_partial: false,
             shards: admission.shards,
@@ -416,6 +433,15 @@
     }
 }
 
+fn reject(arrival: &Arrival, rejection: Rejection, commands: &mut Vec<ForwardCommand>) {
+    let telemetry = rejection.telemetry.map(|telemetry| *telemetry);
+    commands.extend(telemetry.map(ForwardCommand::Record));
+    commands.push(ForwardCommand::Answer {
+        caller: arrival.caller,
+        answer: ForwardAnswer::Refused(rejection.refusal),
+    });
+}
+
 /// Merge for the answers of a route's shards; `None` if the route has no shards.
 fn new_merge(route: &Route) -> Option<ShardMerge> {
     match &route.target {
--- a/crates/core/src/forward_quota.rs
+++ b/crates/core/src/forward_quota.rs
@@ -1,6 +1,10 @@
 //! Quotas of workspaces in the admission of requests, and the requests that wait for the owner of a quota.
 
-use crate::{forward_admission::Arrival, prelude::*, quota_share::QuotaDecision};
+use crate::{
+    forward_admission::{Admission, Arrival},
+    prelude::*,
+    quota_share::QuotaDecision,
+};
 use std::net::SocketAddr;
 
 /// Interval at which a request that waits is decided again, so that a lost message is repeated within its wait.
@@ -10,19 +14,12 @@
 #[derive(Debug)]
 pub(crate) struct ParkedRequest {
     arrival: Arrival,
+    admission: Admission,
     workspace: Arc<str>,
-    parked_at: Timestamp,
     /// When it is refused if no reply has come.
     wait_until: Timestamp,
 }
 
-/// Whether a request still has to be charged to the quota of its workspace.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum QuotaCharge {
-    Due,
-    Paid,
-}
-
 impl Forwarder {
     /// Applies limits on all nodes together that the settings have changed.
     pub(crate) fn change_limits(&mut self, now: Timestamp, limits: FleetLimits) {
@@ -78,7 +75,7 @@
         }
     }
 
-    /// Charges a request to the quota of its workspace. Returns whether it can be sent now; otherwise it has been
+    /// Charges a request to the quota of its workspace. Returns its admission if it can be sent now; otherwise it has been
     /// refused or waits.
     ///
     /// On a public route a request is charged but never refused.
@@ -86,37 +83,48 @@
         &mut self,
         now: Timestamp,
         arrival: &Arrival,
-        (identity, route): (&CallerIdentity, &Route),
+        admission: Admission,
         commands: &mut Vec<ForwardCommand>,
-    ) -> bool {
-        let (Some(quotas), CallerIdentity::Workspace(workspace)) = (&mut self.quotas, identity)
+    ) -> Option<Admission> {
+        let (Some(quotas), CallerIdentity::Workspace(workspace)) =
+            (&mut self.quotas, &admission.identity)
         else {
-            return true;
+            return Some(admission);
         };
-        let decision = if route.public {
-            quotas.charge(now, workspace);
+        if !quotas.has_quota(workspace) {
+            return Some(admission);
+        }
+        let workspace = Arc::clone(workspace);
+        let decision = if admission.table.route(admission.route).public {
+            quotas.charge(now, &workspace);
             QuotaDecision::Admitted
         } else {
-            quotas.admit(now, workspace)
+            quotas.admit(now, &workspace)
         };
         match decision {
-            QuotaDecision::Admitted => record_admission(workspace, "admitted", commands),
+            QuotaDecision::Admitted => {
+                record_admission(&workspace, "admitted", commands);
+                self.ask_for_quota(now, &workspace, commands);
+                Some(admission)
+            }
             QuotaDecision::Refused { retry_after } => {
-                self.refuse_over_quota(now, arrival, workspace, retry_after, commands);
+                self.refuse_over_quota(now, arrival, &workspace, retry_after, commands);
+                self.ask_for_quota(now, &workspace, commands);
+                None
+            }
+            QuotaDecision::Pending => {
+                self.parked.push(ParkedRequest {
+                    arrival: arrival.clone(),
+                    admission,
+                    workspace: Arc::clone(&workspace),
+                    wait_until: now + WorkspaceQuotas::max_wait(arrival.request.time_left),
+                });
+                self.ask_for_quota(now, &workspace, commands);
+                self.parked_retry_at = now + RETRY_INTERVAL;
+                self.decide_parked(now, commands);
+                None
             }
-            QuotaDecision::Pending => self.parked.push(ParkedRequest {
-                arrival: arrival.clone(),
-                workspace: Arc::clone(workspace),
-                parked_at: now,
-                wait_until: now + WorkspaceQuotas::max_wait(arrival.request.time_left),
-            }),
-        }
-        self.ask_for_quota(now, workspace, commands);
-        if decision == QuotaDecision::Pending {
-            self.parked_retry_at = now + RETRY_INTERVAL;
-            self.decide_parked(now, commands);
         }
-        decision == QuotaDecision::Admitted
     }
 
     /// Time at which the requests that wait are decided again.
@@ -174,7 +182,7 @@
             if decision == QuotaDecision::Pending && now < parked.wait_until {
                 self.parked.push(parked);
             } else {
-                self.end_wait(now, &parked, decision, commands);
+                self.end_wait(now, parked, decision, commands);
             }
         }
     }
@@ -182,7 +190,7 @@
     fn end_wait(
         &mut self,
         now: Timestamp,
-        parked: &ParkedRequest,
+        parked: ParkedRequest,
         decision: QuotaDecision,
         commands: &mut Vec<ForwardCommand>,
     ) {
@@ -195,8 +203,7 @@
         let retry_after = match decision {
             QuotaDecision::Admitted => {
                 record_admission(workspace, "admitted_after_wait", commands);
-                let arrival = parked.arrival_at(now);
-                return self.admit_request(now, &arrival, QuotaCharge::Paid, commands);
+                return self.resume_request(now, &parked.arrival, parked.admission, commands);
             }
             QuotaDecision::Pending => silence_time,
             QuotaDecision::Refused { retry_after } => retry_after,
@@ -227,18 +234,6 @@
     }
 }
 
-impl ParkedRequest {
-    /// The request, with the time that its caller still waits now.
-    fn arrival_at(&self, now: Timestamp) -> Arrival {
-        let mut request = ForwardRequest::clone(&self.arrival.request);
-        request.time_left = request.time_left.saturating_sub(now.since(self.parked_at));
-        Arrival {
-            request: Arc::new(request),
-            ..self.arrival.clone()
-        }
-    }
-}
-
 fn push_messages(messages: Vec<OutgoingQuotaMessage>, commands: &mut Vec<ForwardCommand>) {
     commands.extend(messages.into_iter().map(ForwardCommand::SendQuotaMessage));
 }
--- a/crates/core/src/forwarder.rs
+++ b/crates/core/src/forwarder.rs
@@ -5,7 +5,7 @@
     forward_admission::Arrival,
     forward_chart::{FlowEvent, FlowMachine},
     forward_flow::Flow,
-    forward_quota::{ParkedRequest, QuotaCharge},
+    forward_quota::ParkedRequest,
     prelude::*,
     replica::Replica,
     reply_times::ReplyTimes,
@@ -245,7 +245,7 @@
                     request,
                     arrived_at,
                 };
-                self.admit_request(now, &arrival, QuotaCharge::Due, commands);
+                self.admit_request(now, &arrival, commands);
             }
             ForwardEvent::CallerGone(caller) => {
                 self.remove_parked(caller);
--- a/crates/core/src/key_lease.rs
+++ b/crates/core/src/key_lease.rs
@@ -74,7 +74,8 @@
 impl WatchTiming {
     /// Latest time at which the registry is known to have had no change beyond those in the reply.
     pub fn confirmed_at(&self) -> BootTime {
-        // A registry replies as soon as there is a change, so that an empty reply after the full wait covers the wait.
+        // A registry replies as soon as there is a change and not before the wait has passed otherwise, so that an empty
+        // reply after the full wait covers the wait.
         // Other replies may have been in transit for most of the time.
         let waited = self.answered_at.since(self.sent_at);
         if self.found_changes || waited < self.wait {
--- a/crates/core/src/quota_fleet.rs
+++ b/crates/core/src/quota_fleet.rs
@@ -77,6 +77,11 @@
         }
     }
 
+    /// Changes the time after a start until which new members reduce this node's share.
+    pub fn set_starting_time(&mut self, starting_time: Duration) {
+        self.starting_time = starting_time;
+    }
+
     /// Updates the members. Members that all are forgotten are kept: a node that hears from nobody must not take itself
     /// for the whole fleet.
     pub fn update(&mut self, now: Timestamp, sighting: &FleetSighting) {
--- a/crates/core/src/workspace_quotas.rs
+++ b/crates/core/src/workspace_quotas.rs
@@ -100,6 +100,7 @@
     /// Applies other limits.
     pub fn set_limits(&mut self, limits: QuotaLimits) {
         self.limits = limits;
+        self.fleet.set_starting_time(limits.window);
         self.apply_quotas();
     }
 
@@ -133,6 +134,11 @@
         }
     }
 
+    /// Whether the workspace has a quota in the configuration in force.
+    pub fn has_quota(&self, workspace: &Arc<str>) -> bool {
+        self.quotas.contains_key(workspace)
+    }
+
     /// Decides about a new request of a workspace. `Pending` counts it as waiting until [`Self::stop_waiting`].
     pub fn admit(&mut self, now: Timestamp, workspace: &Arc<str>) -> QuotaDecision {
         if !self.quotas.contains_key(workspace) {
--- a/crates/core/tests/forwarding/quotas.rs
+++ b/crates/core/tests/forwarding/quotas.rs
@@ -41,7 +41,10 @@
 fn limited_table(version: u64, quota: Option<Quota>) -> Arc<RoutingTable> {
     let mut open = service_route("open");
     open.public = true;
-    let table = Arc::into_inner(table(version, vec![service_route("desk"), open])).unwrap();
+    let halves = [("half-a", 1.0), ("half-b", 1.0)].map(|(name, weight)| (name.into(), weight));
+    let split = route("split", Target::Split(halves.into()));
+    let routes = vec![service_route("desk"), open, split];
+    let table = Arc::into_inner(table(version, routes)).unwrap();
     let workspaces = vec![WorkspaceSettings {
         name: "w".into(),
         keys: vec![Digest::of(KEY.as_bytes())],
@@ -273,3 +276,43 @@
 
     assert_eq!(harness.take_sent().len(), 1);
 }
+
+/// Guards against a request that is routed twice: once when it begins to wait for its quota, and once when it is sent.
+#[test]
+fn waiting_requests_are_split_evenly() {
+    let mut harness = harness_with_remote_owner();
+    for service in ["half-a", "half-b"] {
+        harness.handle(ForwardEvent::UpstreamRegistered(upstream(service, "z-a")));
+    }
+
+    for _ in 0..4 {
+        harness.send_request(keyed_request("/split/a"));
+        let (id, wanted) = take_ask(&mut harness).expect("the owner is asked");
+        reply(&mut harness, id, wanted);
+        harness.advance(Duration::from_secs(2));
+    }
+
+    let sent = harness.take_sent();
+    let to_first = sent.iter().filter(|sent| sent.instance == "half-a@z-a");
+    assert_eq!((sent.len(), to_first.count()), (4, 2));
+}
+
+/// Guards against a request that is sent although the node began to shut down while it waited, so that its answer could
+/// not be written before the exit.
+#[test]
+fn a_request_that_waits_into_a_shutdown_is_refused_as_not_run() {
+    let mut harness = harness_with_remote_owner();
+    let caller = harness.send_request(keyed_request("/desk/a"));
+    let (id, wanted) = take_ask(&mut harness).expect("the owner is asked");
+
+    let schedule = ShutdownSchedule::new(harness.now, Duration::ZERO, Duration::from_millis(10));
+    harness.handle(ForwardEvent::ShutdownBegan(schedule));
+    reply(&mut harness, id, wanted);
+
+    let answers = harness.take_answers();
+    assert!(harness.take_sent().is_empty());
+    assert!(matches!(
+        answers[..],
+        [(answered, ForwardAnswer::Refused(ForwardRefusal::Unavailable { .. }))] if answered == caller
+    ));
+}
--- a/crates/node/src/registry_watcher.rs
+++ b/crates/node/src/registry_watcher.rs
@@ -195,7 +195,7 @@
                 let sent_at = self.confirmation.now();
                 let listing = self.registry.list(self.call_timeout()).await?;
                 self.record_success();
-                self.apply_listing(listing);
+                self.apply_own_listing(listing);
                 self.confirm_configuration(sent_at);
             }
             Some(revision) => {
@@ -228,7 +228,7 @@
             listing = self.registry.list(self.call_timeout()) => {
                 let listing = listing?;
                 self.record_success();
-                self.apply_listing(listing);
+                self.apply_own_listing(listing);
                 self.confirm_configuration(sent_at);
             }
             snapshot = self.await_peer_snapshot() => {
@@ -281,7 +281,8 @@
         let current = snapshot.current;
         if snapshot.revision > self.items.borrow().revision() {
             let (revision, confirmation) = (self.revision, self.confirmation);
-            self.apply_listing(snapshot);
+            // Its instances don't tell which ones the registry has: nodes don't pass on entries that they refused.
+            let _instances = self.apply_listing(snapshot);
             self.confirmation = confirmation;
             if self.confirmation.is_required() {
                 // Nodes don't pass on a configuration that they can't read. Changes since this node's own last read show it.
@@ -306,7 +307,9 @@
         } else {
             debug!(self.log, "registry_read_failed"; "fault" => %fault, "revision" => self.revision);
         }
-        if event == RegistryContactEvent::Failed {
+        // A cut watch alone says nothing about the registry, but other nodes must not trust one that reads nothing.
+        let is_away = self.contact.state() == RegistryState::Away;
+        if event == RegistryContactEvent::Failed || is_away {
             self.items.send_modify(|items| items.set_current(false));
         }
     }
@@ -325,7 +328,14 @@
         }
     }
 
-    fn apply_listing(&mut self, listing: Snapshot) {
+    /// Applies what the registry itself lists.
+    fn apply_own_listing(&mut self, listing: Snapshot) {
+        let instances = self.apply_listing(listing);
+        self.histories.retain(&instances);
+    }
+
+    /// Applies a complete set of items. Returns the instances that have an entry in it, readable or not.
+    fn apply_listing(&mut self, listing: Snapshot) -> HashSet<Arc<str>> {
         self.record_revision(listing.revision);
         self.confirmation.record_none();
         let mut seen = HashSet::new();
@@ -366,19 +376,12 @@
         }
         self.items.send_modify(|items| items.retain(&keys));
         seen.extend(unreadable);
-        self.histories.retain(&seen);
+        seen
     }
 
     fn apply_changes(&mut self, changes: Changes) {
         self.record_revision(changes.revision);
-        let gone = |change: &&Change| {
-            let removed = match change {
-                Change::Removed(key) => self.registry.parse_removal(key),
-                Change::Written(_) => None,
-            };
-            matches!(removed, Some(Removal::UpstreamRemoved(_)))
-        };
-        let grace_until = self.grace_end(changes.changes.iter().filter(gone).count());
+        let grace_until = self.grace_end(self.count_vanished(&changes.changes));
         for change in changes.changes {
             match change {
                 Change::Written(item) => {
@@ -391,6 +394,28 @@
         }
     }
 
+    /// Number of registered entries that these changes remove for good.
+    fn count_vanished(&self, changes: &[Change]) -> usize {
+        let mut vanished = HashSet::new();
+        for change in changes {
+            match change {
+                Change::Written(item) => {
+                    vanished.remove(&item.key);
+                }
+                Change::Removed(key) => {
+                    let removal = self.registry.parse_removal(key);
+                    if let Some(Removal::UpstreamRemoved(instance)) = removal
+                        && self.entry_keys.contains_key(&instance)
+                        && !self.missing.contains_key(&instance)
+                    {
+                        vanished.insert(key);
+                    }
+                }
+            }
+        }
+        vanished.len()
+    }
+
     /// End of the grace period of entries of which so many disappear in one read.
     fn grace_end(&self, gone: usize) -> Timestamp {
         let known = self.entry_keys.len();
