--- a/crates/core/src/forward_quota.rs
+++ b/crates/core/src/forward_quota.rs
@@ -12,7 +12,7 @@
 
 /// A request that waits until the owner of its workspace's quota has replied.
 #[derive(Debug)]
-pub(crate) struct ParkedRequest {
+pub(crate) struct WaitingRequest {
     arrival: Arrival,
     admission: Admission,
     workspace: Arc<str>,
@@ -45,7 +45,7 @@
     pub(crate) fn update_quota_fleet(&mut self, now: Timestamp, sighting: &FleetSighting) {
         if let Some(quotas) = &mut self.quotas {
             quotas.update_fleet(now, sighting);
-            self.parked_retry_at = now;
+            self.waiting_retry_at = now;
         }
     }
 
@@ -71,7 +71,7 @@
         let decides_waiting = quotas.receive(now, from, message, &mut outgoing);
         push_messages(outgoing, commands);
         if decides_waiting {
-            self.decide_parked(now, commands);
+            self.decide_waiting(now, commands);
         }
     }
 
@@ -113,49 +113,53 @@
                 None
             }
             QuotaDecision::Pending => {
-                self.parked.push(ParkedRequest {
+                self.waiting.push(WaitingRequest {
                     arrival: arrival.clone(),
                     admission,
                     workspace: Arc::clone(&workspace),
                     wait_until: now + WorkspaceQuotas::max_wait(arrival.request.time_left),
                 });
                 self.ask_for_quota(now, &workspace, commands);
-                self.parked_retry_at = now + RETRY_INTERVAL;
-                self.decide_parked(now, commands);
+                self.waiting_retry_at = now + RETRY_INTERVAL;
+                self.decide_waiting(now, commands);
                 None
             }
         }
     }
 
     /// Time at which the requests that wait are decided again.
-    pub(crate) fn next_parked_retry(&self) -> Option<Timestamp> {
-        let first = self.parked.iter().map(|parked| parked.wait_until).min()?;
-        Some(first.min(self.parked_retry_at))
+    pub(crate) fn next_waiting_retry(&self) -> Option<Timestamp> {
+        let first = self
+            .waiting
+            .iter()
+            .map(|waiting| waiting.wait_until)
+            .min()?;
+        Some(first.min(self.waiting_retry_at))
     }
 
     /// Repeats lost messages and ends the waits that are over.
-    pub(crate) fn retry_parked(&mut self, now: Timestamp, commands: &mut Vec<ForwardCommand>) {
-        if self.next_parked_retry().is_none_or(|at| at > now) {
+    pub(crate) fn retry_waiting(&mut self, now: Timestamp, commands: &mut Vec<ForwardCommand>) {
+        if self.next_waiting_retry().is_none_or(|at| at > now) {
             return;
         }
-        self.parked_retry_at = now + RETRY_INTERVAL;
-        let mut workspaces: Vec<_> = self.parked.iter().map(|p| &p.workspace).cloned().collect();
+        self.waiting_retry_at = now + RETRY_INTERVAL;
+        let mut workspaces: Vec<_> = self.waiting.iter().map(|p| &p.workspace).cloned().collect();
         workspaces.sort();
         workspaces.dedup();
         for workspace in workspaces {
             self.ask_for_quota(now, &workspace, commands);
         }
-        self.decide_parked(now, commands);
+        self.decide_waiting(now, commands);
     }
 
     /// Forgets the waiting request of a caller that has gone.
-    pub(crate) fn remove_parked(&mut self, caller: CallerKey) {
-        let Some(position) = self.parked.iter().position(|p| p.arrival.caller == caller) else {
+    pub(crate) fn remove_waiting(&mut self, caller: CallerKey) {
+        let Some(position) = self.waiting.iter().position(|p| p.arrival.caller == caller) else {
             return;
         };
-        let parked = self.parked.remove(position);
+        let waiting = self.waiting.remove(position);
         if let Some(quotas) = &mut self.quotas {
-            quotas.stop_waiting(&parked.workspace);
+            quotas.stop_waiting(&waiting.workspace);
         }
     }
 
@@ -173,16 +177,16 @@
     }
 
     /// Decides about the requests that wait, in the order of their arrival.
-    fn decide_parked(&mut self, now: Timestamp, commands: &mut Vec<ForwardCommand>) {
-        for parked in std::mem::take(&mut self.parked) {
+    fn decide_waiting(&mut self, now: Timestamp, commands: &mut Vec<ForwardCommand>) {
+        for waiting in std::mem::take(&mut self.waiting) {
             let decision = match &mut self.quotas {
-                Some(quotas) => quotas.admit_waiting(now, &parked.workspace),
+                Some(quotas) => quotas.admit_waiting(now, &waiting.workspace),
                 None => QuotaDecision::Admitted,
             };
-            if decision == QuotaDecision::Pending && now < parked.wait_until {
-                self.parked.push(parked);
+            if decision == QuotaDecision::Pending && now < waiting.wait_until {
+                self.waiting.push(waiting);
             } else {
-                self.end_wait(now, parked, decision, commands);
+                self.end_wait(now, waiting, decision, commands);
             }
         }
     }
@@ -190,11 +194,11 @@
     fn end_wait(
         &mut self,
         now: Timestamp,
-        parked: ParkedRequest,
+        waiting: WaitingRequest,
         decision: QuotaDecision,
         commands: &mut Vec<ForwardCommand>,
     ) {
-        let workspace = &parked.workspace;
+        let workspace = &waiting.workspace;
         let mut silence_time = Duration::ZERO;
         if let Some(quotas) = &mut self.quotas {
             quotas.stop_waiting(workspace);
@@ -203,12 +207,12 @@
         let retry_after = match decision {
             QuotaDecision::Admitted => {
                 record_admission(workspace, "admitted_after_wait", commands);
-                return self.resume_request(now, &parked.arrival, parked.admission, commands);
+                return self.resume_request(now, &waiting.arrival, waiting.admission, commands);
             }
             QuotaDecision::Pending => silence_time,
             QuotaDecision::Refused { retry_after } => retry_after,
         };
-        self.refuse_over_quota(now, &parked.arrival, workspace, retry_after, commands);
+        self.refuse_over_quota(now, &waiting.arrival, workspace, retry_after, commands);
     }
 
     fn refuse_over_quota(
--- a/crates/core/src/forward_timers.rs
+++ b/crates/core/src/forward_timers.rs
@@ -10,7 +10,7 @@
 impl Forwarder {
     /// Handles the flows whose timers have expired.
     pub(crate) fn handle_wakeup(&mut self, now: Timestamp, commands: &mut Vec<ForwardCommand>) {
-        self.retry_parked(now, commands);
+        self.retry_waiting(now, commands);
         while let Some(key) = self.timers.pop_due(now) {
             let Some(flow) = self.flows.get_mut(key) else {
                 continue;
--- a/crates/core/src/forwarder.rs
+++ b/crates/core/src/forwarder.rs
@@ -5,7 +5,7 @@
     forward_admission::Arrival,
     forward_chart::{FlowEvent, FlowMachine},
     forward_flow::Flow,
-    forward_quota::ParkedRequest,
+    forward_quota::WaitingRequest,
     prelude::*,
     replica::Replica,
     reply_times::ReplyTimes,
@@ -116,9 +116,9 @@
     /// Service of each workspace under overload.
     pub(crate) served_shares: ServedShares,
     /// Requests that wait for a reply about their quota, in the order of their arrival.
-    pub(crate) parked: Vec<ParkedRequest>,
+    pub(crate) waiting: Vec<WaitingRequest>,
     /// When the requests that wait are decided again.
-    pub(crate) parked_retry_at: Timestamp,
+    pub(crate) waiting_retry_at: Timestamp,
     pub(crate) random: fastrand::Rng,
     pub(crate) flow_chart: Chart<FlowMachine>,
     pub(crate) replica_chart: Chart<ReplicaMachine>,
@@ -185,8 +185,8 @@
             split_credit: HashMap::new(),
             quotas,
             served_shares: ServedShares::default(),
-            parked: Vec::new(),
-            parked_retry_at: Timestamp::ZERO,
+            waiting: Vec::new(),
+            waiting_retry_at: Timestamp::ZERO,
             random,
             flow_chart: Chart::load()?,
             replica_chart: Chart::load()?,
@@ -248,7 +248,7 @@
                 self.admit_request(now, &arrival, commands);
             }
             ForwardEvent::CallerGone(caller) => {
-                self.remove_parked(caller);
+                self.remove_waiting(caller);
                 if let Some(&flow) = self.callers.get(&caller) {
                     self.advance_flow(now, flow, FlowEvent::CallerGone, commands);
                 }
@@ -261,12 +261,12 @@
     /// Time at which [`ForwardEvent::Wakeup`] is due.
     pub fn next_wakeup(&self) -> Option<Timestamp> {
         let timers = self.timers.next_due();
-        timers.into_iter().chain(self.next_parked_retry()).min()
+        timers.into_iter().chain(self.next_waiting_retry()).min()
     }
 
     /// Number of requests that have not been answered yet.
     pub fn running_requests(&self) -> usize {
-        self.flows.len() + self.parked.len()
+        self.flows.len() + self.waiting.len()
     }
 
     /// Whether requests can be served: a configuration is in force and an upstream is registered.
--- a/crates/core/src/quota_fleet.rs
+++ b/crates/core/src/quota_fleet.rs
@@ -36,7 +36,7 @@
     started_at: Timestamp,
     updated_at: Timestamp,
     /// When a new member last appeared.
-    grown_at: Timestamp,
+    last_join_at: Timestamp,
     /// Time after its start until which new members reduce this node's share.
     starting_time: Duration,
     /// When each remembered member was last known to be alive.
@@ -44,7 +44,7 @@
     /// Number of nodes, this one included; `None` until another one was heard of or there can be none.
     size: Option<u32>,
     /// Shares of the fleet that were heard within the last silence limit, oldest first.
-    heard_shares: VecDeque<(Timestamp, f64)>,
+    reachable_shares: VecDeque<(Timestamp, f64)>,
     /// Rendezvous order of all remembered nodes, by workspace. Cleared when a node appears or is forgotten.
     orders: HashMap<Arc<str>, Vec<SocketAddr>>,
 }
@@ -68,11 +68,11 @@
             own: None,
             started_at: now,
             updated_at: now,
-            grown_at: now,
+            last_join_at: now,
             starting_time,
             members: BTreeMap::new(),
             size: None,
-            heard_shares: VecDeque::new(),
+            reachable_shares: VecDeque::new(),
             orders: HashMap::new(),
         }
     }
@@ -98,7 +98,7 @@
                 self.orders.clear();
             }
             if members.keys().any(|node| !self.members.contains_key(node)) {
-                self.grown_at = now;
+                self.last_join_at = now;
             }
             self.members = members;
         }
@@ -106,7 +106,7 @@
         if !sighting.members.is_empty() || self.size.is_none() {
             self.size = sighting.size.map(|size| size.max(remembered));
         }
-        self.record_heard_share(now);
+        self.record_reachable_share(now);
     }
 
     /// Notes a message of a member.
@@ -119,7 +119,7 @@
     /// Starts anew after an interruption: the members heard before it say nothing about now.
     pub fn restart(&mut self, now: Timestamp) {
         self.started_at = now;
-        self.heard_shares.clear();
+        self.reachable_shares.clear();
     }
 
     /// Start of the process, or the end of the last interruption.
@@ -130,7 +130,7 @@
     /// Node to ask for grants of a workspace; `None` before the first update.
     pub fn owner(&mut self, now: Timestamp, workspace: &Arc<str>) -> Option<SocketAddr> {
         let own = self.own?;
-        let silence = self.silence_limit();
+        let silence = self.failure_timeout();
         self.update_order(own, workspace);
         let mut order = self.orders[workspace].iter().copied();
         order.find(|node| *node == own || self.silent_for(now, *node) < silence * OWNER_SILENCES)
@@ -146,7 +146,7 @@
         let Some(own) = self.own else {
             return false;
         };
-        let silence = self.silence_limit();
+        let silence = self.failure_timeout();
         self.update_order(own, workspace);
         let mut earlier = self.orders[workspace].iter().take_while(|n| **n != own);
         earlier.all(|node| self.silent_for(now, *node) >= silence * OWNER_SILENCES)
@@ -158,8 +158,8 @@
         if self.is_outdated(now) {
             return 0.0;
         }
-        let shares = self.heard_shares.iter().map(|(_, share)| *share);
-        shares.fold(1.0, f64::min) * self.fade(now)
+        let shares = self.reachable_shares.iter().map(|(_, share)| *share);
+        shares.fold(1.0, f64::min) * self.startup_share(now)
     }
 
     /// Requests that this node may admit in one window without a grant, if all nodes together may admit `amount`. The
@@ -168,7 +168,7 @@
         let (Some(own), Some(size)) = (self.own, self.size) else {
             return 0;
         };
-        if self.fade(now) < 1.0 {
+        if self.startup_share(now) < 1.0 {
             return 0;
         }
         let each = (amount / f64::from(size)) as u32;
@@ -189,7 +189,7 @@
         now.since(self.updated_at) > MAX_UPDATE_AGE
     }
 
-    fn silence_limit(&self) -> Duration {
+    fn failure_timeout(&self) -> Duration {
         let size = self.size.unwrap_or(1);
         (BASE_SILENCE + SILENCE_PER_NODE * size).min(MAX_SILENCE)
     }
@@ -201,29 +201,29 @@
 
     /// Share of the node's normal rights that it has so soon after its start: until it has heard from all others it may
     /// underestimate the fleet.
-    fn fade(&self, now: Timestamp) -> f64 {
+    fn startup_share(&self, now: Timestamp) -> f64 {
         if self.size.is_none() {
             return 0.0;
         }
         if now.since(self.started_at) >= self.starting_time {
             return 1.0;
         }
-        let settled_for = now.since(self.grown_at.max(self.started_at));
+        let settled_for = now.since(self.last_join_at.max(self.started_at));
         (settled_for.as_secs_f64() / SETTLING_TIME.as_secs_f64()).min(1.0)
     }
 
-    fn record_heard_share(&mut self, now: Timestamp) {
+    fn record_reachable_share(&mut self, now: Timestamp) {
         let Some(size) = self.size else {
             return;
         };
-        let silence = self.silence_limit();
+        let silence = self.failure_timeout();
         let heard = self.members.values().filter(|at| now.since(**at) < silence);
         let share = (heard.count() + 1) as f64 / f64::from(size);
-        self.heard_shares.push_back((now, share));
-        while let Some((at, _)) = self.heard_shares.front()
+        self.reachable_shares.push_back((now, share));
+        while let Some((at, _)) = self.reachable_shares.front()
             && now.since(*at) > silence
         {
-            self.heard_shares.pop_front();
+            self.reachable_shares.pop_front();
         }
     }
 
--- a/crates/core/src/served_shares.rs
+++ b/crates/core/src/served_shares.rs
@@ -1,6 +1,6 @@
 //! How much of each workspace's demand was admitted lately, so that an overload does not fall on a few workspaces.
 
-use crate::prelude::*;
+use crate::{decay::decay, prelude::*};
 use std::collections::HashMap;
 
 /// Time after which a request counts half.
@@ -52,20 +52,19 @@
         }
         self.next_cleanup = now + HALF_LIFE;
         self.workspaces
-            .retain(|_, service| service.faded(now).arrived >= MIN_DEMAND);
+            .retain(|_, service| service.decayed(now).arrived >= MIN_DEMAND);
     }
 }
 
 impl Service {
     fn add(&mut self, now: Timestamp, admitted: bool) {
-        *self = self.faded(now);
+        *self = self.decayed(now);
         self.arrived += 1.0;
         self.admitted += f64::from(u8::from(admitted));
     }
 
-    fn faded(self, now: Timestamp) -> Self {
-        let half_lives = now.since(self.updated_at).as_secs_f64() / HALF_LIFE.as_secs_f64();
-        let factor = 0.5_f64.powf(half_lives);
+    fn decayed(self, now: Timestamp) -> Self {
+        let factor = decay(now.since(self.updated_at), HALF_LIFE);
         Self {
             arrived: self.arrived * factor,
             admitted: self.admitted * factor,
