Decide which nodes read the registry and whom the others follow

Cause: every node of a large fleet reads the store itself. Nothing uses them yet. RegistryLimits::in_flight, which no code read, is RegistryBounds::in_flight; the tests of the stages use it. Result: all stages with followers end within the change bound for the deployments and for random bounds.

--- a/crates/core/src/boot_time.rs
+++ b/crates/core/src/boot_time.rs
@@ -13,6 +13,11 @@
         Self(since_boot)
     }
 
+    /// Time `duration` earlier; `None` if that is before the origin.
+    pub fn checked_sub(self, duration: Duration) -> Option<Self> {
+        self.0.checked_sub(duration).map(Self)
+    }
+
     /// Duration from `earlier` to `self`; zero if `earlier` is later.
     pub fn since(self, earlier: Self) -> Duration {
         self.0.saturating_sub(earlier.0)
--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -164,6 +164,14 @@
         }
     }
 
+    /// What the choice of the nodes that read the registry depends on.
+    pub fn registry_fleet(&mut self, now: Timestamp) -> RegistryFleet {
+        RegistryFleet {
+            sighting: self.sighting(now),
+            is_stable: self.is_stable(now),
+        }
+    }
+
     /// Nodes to ask for published state while the registry is away: the known members, or the seeds if there are none.
     pub fn contacts(&self) -> Vec<SocketAddr> {
         if self.members.is_empty() {
--- a/crates/core/src/prelude.rs
+++ b/crates/core/src/prelude.rs
@@ -52,8 +52,13 @@
     refusal::{Execution, Refusal, RefusalKind},
     registered_upstream::RegisteredUpstream,
     registry_bounds::{RegistryBounds, RegistryLimits},
-    registry_contact::{RegistryContact, WatchTimes},
+    registry_contact::{RegistryContact, RelayedRead, WatchTimes},
     registry_contact_chart::{RegistryContactEvent, RegistryState},
+    registry_readers::{RegistryFleet, RegistryReaders, RegistrySource},
+    registry_relay::{
+        PollTiming, RegistryPoll, RegistryReply, RelayAges, RelayRequest, RelayedRemoval,
+    },
+    registry_source_chart::RegistrySourceState,
     replica_chart::{ReplicaAction, ReplicaEvent, ReplicaGuard, ReplicaMachine, ReplicaState},
     routing::{
         CallerLimits, Route, RouteIndex, RoutingTable, ServiceSettings, ShardTarget, Target,
--- a/crates/core/src/registry_bounds.rs
+++ b/crates/core/src/registry_bounds.rs
@@ -1,6 +1,6 @@
 //! Time limits of the stages between a change in the registry and the moment at which a node acts on it.
 
-use crate::prelude::*;
+use crate::{prelude::*, registry_contact::PROBE_WAIT};
 
 /// Shortest bound that the limits are derived from. Shorter ones would let a node read the registry without a pause.
 const MIN_BOUND: Duration = Duration::from_millis(100);
@@ -21,6 +21,9 @@
 /// next read needs a little more.
 const MAX_GRACE: Duration = Duration::from_millis(2_300);
 
+/// Longest time that a reply of a reader takes to reach a follower while the link works.
+const MAX_RELAY_TIME: Duration = Duration::from_millis(100);
+
 /// Bounds within which a node must act on what the registry publishes.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct RegistryBounds {
@@ -59,8 +62,14 @@
     pub vanished_limit: Duration,
     /// Time that a read takes while the registry works.
     pub read_time: Duration,
-    /// Time left for requests that were on their way when the node acted.
-    pub in_flight: Duration,
+    /// Time that a reply of a reader takes to reach a follower while the link works.
+    pub relay_time: Duration,
+    /// Age of a follower's view at which it reads the store itself. It replaces the pause, the wait and the time until a
+    /// lost reply is noticed.
+    pub max_view_age: Duration,
+    /// Time from a follower's last confirmed view after which no entry that has vanished since is kept, unless the
+    /// follower itself saw an outage: one that only its reader saw does not exempt the follower from its bounds.
+    pub relayed_vanished_limit: Duration,
     /// Time for which keys are accepted without a confirmation of the configuration; `None` for no limit.
     pub revoke_within: Option<Duration>,
 }
@@ -79,6 +88,11 @@
             .max(MIN_BOUND)
     }
 
+    /// Time left for requests that were on their way when the node acted.
+    pub fn in_flight(&self) -> Duration {
+        self.tightest() / 10
+    }
+
     fn contact(&self) -> Duration {
         self.contact.max(MIN_BOUND)
     }
@@ -87,7 +101,7 @@
     pub fn limits(&self) -> RegistryLimits {
         let (tightest, contact) = (self.tightest(), self.contact());
         let tenth = tightest / 10;
-        let in_flight = tenth;
+        let in_flight = self.in_flight();
         let read_time = tenth.min(MAX_READ_TIME);
         let reply_timeout = tenth.min(MAX_REPLY_TIMEOUT);
 
@@ -98,6 +112,14 @@
             (self.tightest_change() / 5).min(contact.saturating_sub(contact / 2 + after_wait));
         let max_wait = (contact / 2).min(contact.saturating_sub(interval + after_wait));
 
+        // A follower's own read may first meet a connection that went silent while it was not used.
+        let own_read = reply_timeout + first_retry_delay + read_time;
+        let mut max_view_age = tightest.saturating_sub(own_read + in_flight);
+        max_view_age = max_view_age.min(interval + max_wait + reply_timeout);
+        if let Some(lease) = KeyLease::new(self.revoke).duration() {
+            max_view_age = max_view_age.min(lease.saturating_sub(own_read));
+        }
+
         // A call that began just before the end of an outage uses up its time limit; a delay, a read and the grace
         // period follow.
         let recovery = contact.saturating_sub(read_time + in_flight);
@@ -118,8 +140,27 @@
             lapse_grace: lapse_grace.min(MAX_GRACE),
             vanished_limit: contact.saturating_sub(in_flight),
             read_time,
-            in_flight,
+            relay_time: (tenth / 2).min(MAX_RELAY_TIME),
+            max_view_age,
+            relayed_vanished_limit: self.tightest_change().saturating_sub(in_flight + read_time),
             revoke_within: self.revoke,
         }
     }
 }
+
+impl RegistryLimits {
+    /// Whether a reader can keep the views of its followers young enough without reading much more often than it does
+    /// without followers.
+    pub fn allows_following(&self) -> bool {
+        let cycle = self.interval + self.read_time + self.relay_time;
+        self.max_view_age >= cycle + self.interval / 2
+    }
+
+    /// Wait of a watch by a node whose view is this old and that has followers: the reply must reach them before their
+    /// views are too old. In whole milliseconds, to which registries cut the wait.
+    pub fn relaying_wait(&self, view_age: Duration) -> Duration {
+        let used = view_age + self.read_time + self.relay_time;
+        let wait = self.max_view_age.saturating_sub(used);
+        Duration::from_millis(wait.as_millis() as u64).max(PROBE_WAIT)
+    }
+}
--- a/crates/core/src/registry_contact.rs
+++ b/crates/core/src/registry_contact.rs
@@ -11,7 +11,7 @@
 
 /// Wait of a watch after a cut or failed read. The reply shows at once whether the registry is there, and a watch that
 /// hardly waits is not cut.
-const PROBE_WAIT: Duration = Duration::from_millis(1);
+pub(crate) const PROBE_WAIT: Duration = Duration::from_millis(1);
 
 /// Longest pause between watches while missing entries may return.
 const RECOVERY_INTERVAL: Duration = Duration::from_millis(250);
@@ -28,6 +28,15 @@
     pub reply_timeout: Duration,
 }
 
+/// A read of the registry by another node that a follower learns of.
+#[derive(Clone, Copy, Debug)]
+pub struct RelayedRead {
+    /// When the registry was read.
+    pub read_at: Timestamp,
+    /// End of the other node's grace period after an outage; in the past if there is none.
+    pub recovery_until: Timestamp,
+}
+
 /// Contact of a node with the registry, as its reads show it.
 #[derive(Debug)]
 pub struct RegistryContact {
@@ -35,7 +44,12 @@
     state: RegistryState,
     /// Reads that failed since the last successful one.
     failures: u32,
+    /// Time of the last read. That of a relayed one is when the reader made it.
     last_read: Timestamp,
+    /// Whether the last read was relayed.
+    is_following: bool,
+    /// When the first of the failures in a row was noticed.
+    failing_since: Timestamp,
     /// End of the grace period after the last outage.
     recovery_until: Timestamp,
     /// End of the grace period of entries that vanished together in the last read.
@@ -55,6 +69,8 @@
             chart,
             failures: 0,
             last_read: now,
+            is_following: false,
+            failing_since: now,
             recovery_until: now,
             lapse_until: now,
         })
@@ -77,12 +93,47 @@
         event: RegistryContactEvent,
         limits: &RegistryLimits,
     ) -> Option<RegistryState> {
-        let from = self.state;
         if event == RegistryContactEvent::Read {
             self.record_read(now, limits);
-        } else if event == RegistryContactEvent::Failed || from != RegistryState::Steady {
+        } else if event == RegistryContactEvent::Failed || self.state != RegistryState::Steady {
+            if self.failures == 0 {
+                self.failing_since = now;
+            }
             self.failures = self.failures.saturating_add(1);
         }
+        self.step(now, event, limits)
+    }
+
+    /// Whether a read at this time shows that an outage seen by this node is over.
+    pub fn is_after_failures(&self, read_at: Timestamp) -> bool {
+        self.failures == 0 || read_at > self.failing_since
+    }
+
+    /// Applies a read that a reader relayed. Entries that have vanished since the last read keep the grace periods that
+    /// the reader gives them, within the follower's own bounds.
+    pub fn apply_relayed(
+        &mut self,
+        now: Timestamp,
+        read: RelayedRead,
+        limits: &RegistryLimits,
+    ) -> Option<RegistryState> {
+        let latest = self.last_read + limits.relayed_vanished_limit;
+        let lapse_end = now + limits.lapse_grace.saturating_sub(limits.relay_time);
+        self.lapse_until = lapse_end.min(latest);
+        self.recovery_until = self.recovery_until.max(read.recovery_until.min(latest));
+        self.failures = 0;
+        self.last_read = self.last_read.max(read.read_at);
+        self.is_following = true;
+        self.step(now, RegistryContactEvent::Read, limits)
+    }
+
+    fn step(
+        &mut self,
+        now: Timestamp,
+        event: RegistryContactEvent,
+        limits: &RegistryLimits,
+    ) -> Option<RegistryState> {
+        let from = self.state;
         let step = self.chart.step(from, event, |guard| match guard {
             RegistryContactGuard::Repeated => self.failures >= OUTAGE_FAILURES,
         });
@@ -99,13 +150,16 @@
 
     fn record_read(&mut self, now: Timestamp, limits: &RegistryLimits) {
         let undisturbed_end = now + limits.lapse_grace;
-        self.lapse_until = if self.failures == 0 {
+        self.lapse_until = if self.is_following {
+            undisturbed_end.min(self.last_read + limits.relayed_vanished_limit)
+        } else if self.failures == 0 {
             undisturbed_end
         } else {
             // The entries may have vanished at any time since the last read.
             undisturbed_end.min(self.last_read + limits.vanished_limit)
         };
         self.failures = 0;
+        self.is_following = false;
         self.last_read = now;
     }
 
@@ -129,6 +183,19 @@
         }
     }
 
+    /// Times of a read by a follower whose view is too old. It does not wait for changes.
+    pub fn overdue_read_times(&self, limits: &RegistryLimits) -> WatchTimes {
+        let timeout = if self.state == RegistryState::Steady {
+            limits.reply_timeout
+        } else {
+            limits.call_timeout
+        };
+        WatchTimes {
+            wait: PROBE_WAIT,
+            reply_timeout: timeout.saturating_sub(PROBE_WAIT),
+        }
+    }
+
     /// Pause before the next read after a successful one.
     pub fn pause(&self, now: Timestamp, any_missing: bool, limits: &RegistryLimits) -> Duration {
         if any_missing || now < self.recovery_until {
--- a/crates/core/tests/registry_bounds.rs
+++ b/crates/core/tests/registry_bounds.rs
@@ -30,7 +30,8 @@
 fn paths(bounds: &RegistryBounds) -> Vec<(&'static str, Duration, Duration)> {
     let limits = bounds.limits();
     let (change, contact) = (bounds.tightest_change(), bounds.contact);
-    let last_stages = limits.read_time + limits.in_flight;
+    let in_flight = bounds.in_flight();
+    let last_stages = limits.read_time + in_flight;
     let lost = limits.max_wait + limits.reply_timeout + limits.first_retry_delay + last_stages;
     let late_call = limits.call_timeout + limits.max_retry_delay + last_stages;
     vec![
@@ -58,7 +59,7 @@
         ),
         (
             "many vanish unseen",
-            limits.vanished_limit + limits.in_flight,
+            limits.vanished_limit + in_flight,
             contact,
         ),
     ]
@@ -68,8 +69,113 @@
     for (path, sum, bound) in paths(bounds) {
         assert!(sum <= bound, "{path}: {sum:?} of {bound:?}, {bounds:?}");
     }
+    assert!(bounds.in_flight() >= bounds.tightest() / 10);
+    assert_follower_paths_hold(bounds);
+}
+
+/// Each sequence of stages that a change passes through at worst on its way to an undisturbed follower. A disturbance of
+/// its reader excuses nothing, so that the bound is that of an undisturbed node.
+fn follower_paths(bounds: &RegistryBounds) -> Vec<(&'static str, Duration)> {
     let limits = bounds.limits();
-    assert!(limits.in_flight >= bounds.tightest() / 10);
+    let last_stages = limits.read_time + bounds.in_flight();
+    let relayed = limits.interval + limits.relay_time + last_stages;
+    let lapse_grace = limits.lapse_grace.saturating_sub(limits.relay_time);
+    let lost_read = limits.reply_timeout + limits.first_retry_delay;
+    vec![
+        ("undisturbed reader", relayed),
+        ("many vanish", relayed + lapse_grace),
+        ("reader disturbed", limits.max_view_age + last_stages),
+        (
+            "reader disturbed, own connection silent",
+            limits.max_view_age + lost_read + last_stages,
+        ),
+        (
+            "vanished, grace period relayed",
+            limits.relayed_vanished_limit + last_stages,
+        ),
+    ]
+}
+
+fn assert_follower_paths_hold(bounds: &RegistryBounds) {
+    let (limits, change) = (bounds.limits(), bounds.tightest_change());
+    for (path, sum) in follower_paths(bounds) {
+        assert!(sum <= change, "{path}: {sum:?} of {change:?}, {bounds:?}");
+    }
+    let replaced = limits.interval + limits.max_wait + limits.reply_timeout;
+    assert!(limits.max_view_age <= replaced, "{bounds:?}");
+    let reader_cycle = limits.interval + limits.read_time + limits.relay_time;
+    let wait = limits.relaying_wait(limits.interval);
+    // A wait can't be shorter than that of a short watch.
+    let slack = Duration::from_millis(1);
+    assert!(
+        reader_cycle + wait <= limits.max_view_age + slack,
+        "{limits:?}"
+    );
+}
+
+/// Guards against a lease of keys that ends on a follower although its own read would have extended it.
+#[test]
+fn follower_reads_the_store_before_its_lease_ends() {
+    for revoke_ms in [2_000, 3_000, 5_000, 20_000] {
+        let bounds = RegistryBounds {
+            revoke: Some(Duration::from_millis(revoke_ms)),
+            ..deployments()[1]
+        };
+        let limits = bounds.limits();
+        let lease = KeyLease::new(bounds.revoke).duration().expect("a bound");
+
+        let own_read = limits.reply_timeout + limits.first_retry_delay + limits.read_time;
+
+        assert!(limits.max_view_age + own_read <= lease, "{limits:?}");
+    }
+}
+
+/// Guards against deployments on which no node would ever follow another one.
+#[test]
+fn deployments_allow_following() {
+    for bounds in deployments() {
+        assert!(bounds.limits().allows_following(), "{bounds:?}");
+    }
+}
+
+/// Guards against entries that a follower drops in a short outage of the store that its reader saw, and against ones that
+/// it keeps beyond its own bound because its reader was cut off.
+#[test]
+fn relayed_grace_period_ends_within_the_bound_since_the_last_view() {
+    for bounds in deployments() {
+        let limits = bounds.limits();
+        let mut contact = RegistryContact::new(Timestamp::ZERO).expect("the chart is valid");
+        let viewed = Timestamp::from_millis(10_000);
+        contact.apply(viewed, RegistryContactEvent::Read, &limits);
+        let now = viewed + Duration::from_millis(400);
+        let read = RelayedRead {
+            read_at: now,
+            recovery_until: now + limits.recovery_grace,
+        };
+
+        contact.apply_relayed(now, read, &limits);
+
+        let end = contact.grace_end(now, 1, 40, &limits);
+        assert!(end > now + Duration::from_millis(1_900), "{end:?}");
+        assert!(end + bounds.in_flight() <= viewed + bounds.tightest_change());
+    }
+}
+
+/// Guards against a relayed read from before an outage that a follower takes for the end of the outage.
+#[test]
+fn relayed_read_from_before_the_failures_does_not_end_an_outage() {
+    let limits = deployments()[0].limits();
+    let mut contact = RegistryContact::new(Timestamp::ZERO).expect("the chart is valid");
+    let failed = Timestamp::from_millis(10_000);
+    contact.apply(failed, RegistryContactEvent::Failed, &limits);
+    contact.apply(
+        failed + Duration::from_millis(500),
+        RegistryContactEvent::Failed,
+        &limits,
+    );
+
+    assert!(!contact.is_after_failures(failed));
+    assert!(contact.is_after_failures(failed + Duration::from_millis(1)));
 }
 
 #[test]
@@ -86,7 +192,7 @@
         let limits = bounds.limits();
         let noticed = limits.max_wait + limits.reply_timeout + limits.first_retry_delay;
 
-        let latest = noticed + limits.read_time + limits.in_flight;
+        let latest = noticed + limits.read_time + bounds.in_flight();
         assert!(latest <= bounds.tightest(), "{limits:?}");
     }
 }
@@ -166,7 +272,7 @@
         let end = contact.grace_end(read, 20, 40, &limits);
 
         assert!(
-            end + limits.in_flight <= Timestamp::ZERO + bounds.contact,
+            end + bounds.in_flight() <= Timestamp::ZERO + bounds.contact,
             "{end:?}"
         );
     }
