--- a/crates/wire/src/gen/medlarpost.snapshot.rs
+++ b/crates/wire/src/gen/medlarpost.snapshot.rs
@@ -8,6 +8,12 @@
     /// Revision of what the sender knows; 0 if it knows nothing.
     #[prost(uint64, tag = "2")]
     pub after: u64,
+    /// Whether the sender follows the receiver: it keeps the connection open for further asks, and wants ages and changes.
+    #[prost(bool, tag = "3")]
+    pub follows: bool,
+    /// Milliseconds for which the receiver waits for a read later than those in its last answer.
+    #[prost(uint32, tag = "4")]
+    pub wait_ms: u32,
 }
 /// All published items, or none if the sender knows of no later revision.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -24,6 +30,22 @@
     /// Whether the sender's last read of the registry succeeded.
     #[prost(bool, tag = "4")]
     pub current: bool,
+    /// Whether items and removals are only the changes since the revision of the ask.
+    #[prost(bool, tag = "5")]
+    pub changes_only: bool,
+    /// Items that are gone or refused.
+    #[prost(message, repeated, tag = "6")]
+    pub removals: ::prost::alloc::vec::Vec<Removal>,
+    /// Milliseconds from the last confirmed read to the arrival of the ask, negative for a later read. Absent if the sender
+    /// can't vouch for its view.
+    #[prost(sint64, optional, tag = "7")]
+    pub view_age_ms: ::core::option::Option<i64>,
+    /// The same for the last read that confirmed the configuration.
+    #[prost(sint64, optional, tag = "8")]
+    pub configuration_age_ms: ::core::option::Option<i64>,
+    /// Milliseconds from the arrival of the ask to the end of the grace period after an outage.
+    #[prost(uint32, tag = "9")]
+    pub recovery_ms: u32,
 }
 /// One published item.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -33,3 +55,12 @@
     #[prost(bytes = "bytes", tag = "2")]
     pub value: ::prost::bytes::Bytes,
 }
+/// An item that the sender no longer applies.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Removal {
+    #[prost(string, tag = "1")]
+    pub key: ::prost::alloc::string::String,
+    /// Value that the sender refused, without a grace period; absent if the key is gone.
+    #[prost(bytes = "bytes", optional, tag = "2")]
+    pub refused: ::core::option::Option<::prost::bytes::Bytes>,
+}
--- a/crates/wire/src/snapshot_codec.rs
+++ b/crates/wire/src/snapshot_codec.rs
@@ -37,6 +37,12 @@
 /// Codec of the node that serves snapshots.
 pub type SnapshotServerCodec = SnapshotCodec<Snapshot, SnapshotRequest>;
 
+/// Codec of the node that follows another one.
+pub type FollowerCodec = SnapshotCodec<RegistryPoll, RegistryReply>;
+
+/// Codec of the node that serves snapshots and followers. Its replies to both are the same message.
+pub type RelayServerCodec = SnapshotCodec<RegistryReply, RelayRequest>;
+
 impl<Out, In> Default for SnapshotCodec<Out, In> {
     fn default() -> Self {
         Self {
@@ -73,9 +79,46 @@
 
 impl SnapshotMessage for SnapshotRequest {
     fn to_bytes(&self) -> Vec<u8> {
-        let message = gen_snapshot::Ask {
-            major: MAJOR_VERSION,
-            after: self.after,
+        RelayRequest::Snapshot(*self).to_bytes()
+    }
+
+    fn from_bytes(bytes: &[u8]) -> Result<Option<Self>, prost::DecodeError> {
+        let request = RelayRequest::from_bytes(bytes)?;
+        Ok(request.map(|request| match request {
+            RelayRequest::Snapshot(request) => request,
+            RelayRequest::Poll(poll) => Self { after: poll.after },
+        }))
+    }
+}
+
+impl SnapshotMessage for RegistryPoll {
+    fn to_bytes(&self) -> Vec<u8> {
+        RelayRequest::Poll(*self).to_bytes()
+    }
+
+    fn from_bytes(bytes: &[u8]) -> Result<Option<Self>, prost::DecodeError> {
+        let request = RelayRequest::from_bytes(bytes)?;
+        Ok(request.and_then(|request| match request {
+            RelayRequest::Poll(poll) => Some(poll),
+            RelayRequest::Snapshot(_) => None,
+        }))
+    }
+}
+
+impl SnapshotMessage for RelayRequest {
+    fn to_bytes(&self) -> Vec<u8> {
+        let message = match self {
+            Self::Snapshot(request) => gen_snapshot::Ask {
+                major: MAJOR_VERSION,
+                after: request.after,
+                ..Default::default()
+            },
+            Self::Poll(poll) => gen_snapshot::Ask {
+                major: MAJOR_VERSION,
+                after: poll.after,
+                follows: true,
+                wait_ms: u32::try_from(poll.wait.as_millis()).unwrap_or(u32::MAX),
+            },
         };
         message.encode_to_vec()
     }
@@ -83,21 +126,40 @@
     fn from_bytes(bytes: &[u8]) -> Result<Option<Self>, prost::DecodeError> {
         let message = gen_snapshot::Ask::decode(bytes)?;
         let after = message.after;
-        Ok((message.major == MAJOR_VERSION).then_some(Self { after }))
+        let request = if message.follows {
+            let wait = Duration::from_millis(message.wait_ms.into());
+            Self::Poll(RegistryPoll { after, wait })
+        } else {
+            Self::Snapshot(SnapshotRequest { after })
+        };
+        Ok((message.major == MAJOR_VERSION).then_some(request))
     }
 }
 
 impl SnapshotMessage for Snapshot {
     fn to_bytes(&self) -> Vec<u8> {
-        let items = self.items.iter().map(|item| gen_snapshot::Item {
-            key: item.key.to_string(),
-            value: item.value.clone(),
+        encode_snapshot(self).encode_to_vec()
+    }
+
+    fn from_bytes(bytes: &[u8]) -> Result<Option<Self>, prost::DecodeError> {
+        let reply = RegistryReply::from_bytes(bytes)?;
+        Ok(reply.map(|reply| reply.snapshot))
+    }
+}
+
+impl SnapshotMessage for RegistryReply {
+    fn to_bytes(&self) -> Vec<u8> {
+        let removals = self.removals.iter().map(|removal| gen_snapshot::Removal {
+            key: removal.key.to_string(),
+            refused: removal.refused.clone(),
         });
         let message = gen_snapshot::Snapshot {
-            major: MAJOR_VERSION,
-            revision: self.revision,
-            items: items.collect(),
-            current: self.current,
+            changes_only: self.changes_only,
+            removals: removals.collect(),
+            view_age_ms: self.ages.view_ms,
+            configuration_age_ms: self.ages.configuration_ms,
+            recovery_ms: self.ages.recovery_ms,
+            ..encode_snapshot(&self.snapshot)
         };
         message.encode_to_vec()
     }
@@ -108,11 +170,38 @@
             key: item.key.into(),
             value: item.value,
         });
-        let snapshot = Self {
-            revision: message.revision,
-            current: message.current,
-            items: items.collect(),
+        let removals = message.removals.into_iter().map(|removal| RelayedRemoval {
+            key: removal.key.into(),
+            refused: removal.refused,
+        });
+        let reply = Self {
+            snapshot: Snapshot {
+                revision: message.revision,
+                current: message.current,
+                items: items.collect(),
+            },
+            changes_only: message.changes_only,
+            removals: removals.collect(),
+            ages: RelayAges {
+                view_ms: message.view_age_ms,
+                configuration_ms: message.configuration_age_ms,
+                recovery_ms: message.recovery_ms,
+            },
         };
-        Ok((message.major == MAJOR_VERSION).then_some(snapshot))
+        Ok((message.major == MAJOR_VERSION).then_some(reply))
+    }
+}
+
+fn encode_snapshot(snapshot: &Snapshot) -> gen_snapshot::Snapshot {
+    let items = snapshot.items.iter().map(|item| gen_snapshot::Item {
+        key: item.key.to_string(),
+        value: item.value.clone(),
+    });
+    gen_snapshot::Snapshot {
+        major: MAJOR_VERSION,
+        revision: snapshot.revision,
+        items: items.collect(),
+        current: snapshot.current,
+        ..Default::default()
     }
 }
--- a/crates/wire/tests/snapshots.rs
+++ b/crates/wire/tests/snapshots.rs
@@ -4,7 +4,8 @@
 use bytes::{BufMut as _, Bytes, BytesMut};
 use medlarpost_core::prelude::*;
 use medlarpost_wire::snapshot_codec::{
-    MAX_SNAPSHOT_FRAME_BYTES, SnapshotClientCodec, SnapshotServerCodec,
+    FollowerCodec, MAX_SNAPSHOT_FRAME_BYTES, RelayServerCodec, SnapshotClientCodec,
+    SnapshotServerCodec,
 };
 use proptest::{prelude::*, test_runner::RngSeed};
 use tokio_util::codec::{Decoder as _, Encoder as _};
@@ -73,6 +74,69 @@
     assert_eq!(decoded, Some(request));
 }
 
+/// Guards against a follower's poll that an older node, or its reply that an older follower, can't read.
+#[test]
+fn polls_and_their_replies_are_read_by_nodes_without_followers() {
+    let poll = RegistryPoll {
+        after: 77,
+        wait: Duration::from_millis(1_500),
+    };
+    let reply = RegistryReply {
+        snapshot: Snapshot {
+            revision: 78,
+            current: true,
+            items: Vec::new(),
+        },
+        changes_only: true,
+        removals: vec![RelayedRemoval {
+            key: "gone".into(),
+            refused: Some(Bytes::from_static(b"unreadable")),
+        }],
+        ages: RelayAges {
+            view_ms: Some(-20),
+            configuration_ms: Some(900),
+            recovery_ms: 7,
+        },
+    };
+    let (mut asked, mut answered) = (BytesMut::new(), BytesMut::new());
+
+    FollowerCodec::default().encode(poll, &mut asked).unwrap();
+    RelayServerCodec::default()
+        .encode(reply.clone(), &mut answered)
+        .unwrap();
+
+    let (old_asked, old_answered) = (&mut asked.clone(), &mut answered.clone());
+    let request = RelayServerCodec::default().decode(&mut asked).unwrap();
+    assert_eq!(request, Some(RelayRequest::Poll(poll)));
+    let read = FollowerCodec::default().decode(&mut answered).unwrap();
+    assert_eq!(read, Some(reply.clone()));
+    let request = SnapshotServerCodec::default().decode(old_asked).unwrap();
+    assert_eq!(request, Some(SnapshotRequest { after: 77 }));
+    let read = SnapshotClientCodec::default().decode(old_answered).unwrap();
+    assert_eq!(read, Some(reply.snapshot));
+}
+
+/// Guards against a snapshot of an older node that is taken for a confirmed view.
+#[test]
+fn snapshot_of_a_node_without_followers_has_no_ages() {
+    let snapshot = Snapshot {
+        revision: 5,
+        current: true,
+        items: Vec::new(),
+    };
+    let mut sent = BytesMut::new();
+
+    SnapshotServerCodec::default()
+        .encode(snapshot, &mut sent)
+        .unwrap();
+
+    let reply = FollowerCodec::default().decode(&mut sent).unwrap().unwrap();
+    assert_eq!(
+        (reply.ages, reply.changes_only),
+        (RelayAges::default(), false)
+    );
+}
+
 #[test]
 fn oversized_frame_is_rejected_from_its_length_prefix() {
     let mut frame = BytesMut::new();
