Choose the replica for a shard once

For each shard, the choice ran twice, for the primary and for the trial of a suspect, and each run allocated up to six vectors. Now a trial only looks for a suspect that is due, the lists of the choice are reused buffers, and routes without regions need no look-up of a replica's region. The draw sorts its candidates in place; the same random numbers draw the same replicas.

The share of shards that an answer needs was computed in three places; `Route::needed_shards` replaces them. `send_attempt` is split into steps.

--- a/crates/core/src/forward_admission.rs
+++ b/crates/core/src/forward_admission.rs
@@ -315,12 +315,8 @@
             .iter()
             .filter_map(|shard| self.service_rest_left(now, route, shard.service))
             .collect();
-        let min_coverage = match &route.target {
-            Target::Shards(target) => target.min_coverage,
-            Target::Service(_) | Target::Split(_) => 1.0,
-        };
-        let needed = (min_coverage * shards.len() as f64 - 1e-9).ceil() as usize;
-        let missing = needed.saturating_sub(shards.len() - rests.len());
+        let answering = shards.len() - rests.len();
+        let missing = route.needed_shards().saturating_sub(answering);
         rests.sort();
         missing
             .checked_sub(1)
@@ -370,10 +366,6 @@
             others
         };
         let max_queue_secs = times.objective_secs() * share;
-        let min_coverage = match &route.target {
-            Target::Shards(target) => target.min_coverage,
-            Target::Service(_) | Target::Split(_) => 1.0,
-        };
         let fitting = shards.iter().filter(|shard| {
             let replicas = self.services[shard.service].replicas.iter();
             let replicas = replicas.map(|key| &self.replicas[*key]);
@@ -383,7 +375,7 @@
             warm.peek().is_none()
                 || warm.any(|replica| replica.answers_within(now, times, max_queue_secs))
         });
-        fitting.count() as f64 >= min_coverage * shards.len() as f64 - 1e-9
+        fitting.count() >= route.needed_shards()
     }
 
     fn new_shards(&mut self, route: &Route) -> Vec<ShardAttempts> {
@@ -448,7 +440,6 @@
         Target::Shards(target) => Some(ShardMerge {
             records: RecordMerge::new(target.limit),
             proofs: Vec::with_capacity(target.services.len()),
-            min_coverage: target.min_coverage,
         }),
         Target::Service(_) | Target::Split(_) => None,
     }
--- a/crates/core/src/forward_flow.rs
+++ b/crates/core/src/forward_flow.rs
@@ -35,7 +35,6 @@
 pub(crate) struct ShardMerge {
     pub(crate) records: RecordMerge,
     pub(crate) proofs: Vec<Bytes>,
-    pub(crate) min_coverage: f64,
 }
 
 /// Attempts for one shard, or for the one service of a request that is not sharded.
@@ -91,10 +90,9 @@
         self.shards.iter().filter(pending).count()
     }
 
-    /// Whether an answer from this many shards is a success. The tolerance covers the rounding of the product.
+    /// Whether an answer from this many shards is a success.
     pub(crate) fn is_sufficient(&self, shards: usize) -> bool {
-        let min = self.merge.as_ref().map_or(1.0, |merge| merge.min_coverage);
-        shards > 0 && shards as f64 >= min * self.shards.len() as f64 - 1e-9
+        shards > 0 && shards >= self.route().needed_shards()
     }
 
     /// Next time at which a hedge, the objective or the deadline is due.
--- a/crates/core/src/forward_placement.rs
+++ b/crates/core/src/forward_placement.rs
@@ -1,11 +1,8 @@
 //! Choice of the replica that an attempt is sent to.
 
 use crate::{
-    forward_sends::SendCause,
-    prelude::*,
-    replica::Replica,
-    replica_draw::{self, DrawTimes},
-    reply_times::ReplyTimes,
+    forward_flow::Flow, forward_sends::SendCause, forwarder::ConnectionLimits, prelude::*,
+    replica_draw::DrawTimes, reply_times::ReplyTimes,
 };
 
 /// Attempts beyond the route's maximum, allowed because upstreams state that they did not run the request.
@@ -26,6 +23,14 @@
     pub(crate) report_age: Option<Duration>,
 }
 
+/// Limits on the work of one replica that follow from the settings of its service.
+#[derive(Clone, Copy, Debug)]
+struct WorkLimits {
+    connections: ConnectionLimits,
+    /// Requests that a cold replica may be sent in one window.
+    cold_sends: u32,
+}
+
 impl Forwarder {
     /// Chooses the replica for an attempt.
     pub(crate) fn choose_replica(
@@ -36,55 +41,94 @@
         times: &ReplyTimes,
         cause: SendCause,
     ) -> Result<Placement, SendDenial> {
-        let attempts = &self.flows[flow].shards[shard];
-        let max_attempts = self.flows[flow].route().max_attempts;
-        let max_sends = max_attempts as usize + MAX_NOT_RUN_SENDS;
-        if attempts.possible_runs >= max_attempts || attempts.tried.len() >= max_sends {
-            return Err(SendDenial::MaxAttempts);
-        }
-        let allowed = self.allowed_replicas(flow, shard);
-        self.end_warm_ups(now, &allowed);
-        let due = |key: &&UpstreamKey| self.replicas[**key].trial_due(now);
-        let trial = allowed.iter().rfind(due).copied();
-        let chosen = if cause == SendCause::Trial {
-            None
-        } else {
-            self.choose_accepting(now, self.flows[flow].shards[shard].service, &allowed, times)
-        };
-        let (upstream, is_trial) = match (chosen, trial) {
-            (Some(key), _) => (key, false),
-            (None, Some(key)) => (key, true),
-            (None, None) => return Err(SendDenial::NoUpstream),
+        self.check_attempts(flow, shard)?;
+        let chosen = match cause {
+            SendCause::Trial => None,
+            _ => self.choose_accepting(now, flow, shard, times),
         };
+        let upstream = chosen
+            .or_else(|| self.due_suspect(now, flow, shard))
+            .ok_or(SendDenial::NoUpstream)?;
         let replica = &self.replicas[upstream];
         Ok(Placement {
             upstream,
-            is_trial,
+            is_trial: chosen.is_none(),
             expected: replica.expected_reply(now, times),
             report_age: replica.report_age(now),
         })
     }
 
-    /// Replicas of a shard's service that have not been tried yet and that the route may use.
-    fn allowed_replicas(&self, flow: FlowKey, shard: usize) -> Vec<UpstreamKey> {
+    /// Checks that the route allows another attempt for a shard.
+    fn check_attempts(&self, flow: FlowKey, shard: usize) -> Result<(), SendDenial> {
+        let flow = &self.flows[flow];
+        let (attempts, max_attempts) = (&flow.shards[shard], flow.route().max_attempts);
+        let max_sends = max_attempts as usize + MAX_NOT_RUN_SENDS;
+        if attempts.possible_runs >= max_attempts || attempts.tried.len() >= max_sends {
+            return Err(SendDenial::MaxAttempts);
+        }
+        Ok(())
+    }
+
+    /// The last registered suspect of a shard whose trial is due.
+    pub(crate) fn due_suspect(
+        &self,
+        now: Timestamp,
+        flow: FlowKey,
+        shard: usize,
+    ) -> Option<UpstreamKey> {
         let flow = &self.flows[flow];
-        let (shard, route) = (&flow.shards[shard], flow.route());
-        let is_allowed = |key: &&UpstreamKey| {
-            let zone = &self.replicas[**key].entry.zone;
-            !shard.tried.contains(key)
-                && !self.evacuated_zones.contains(zone)
-                && self.settings.is_allowed(route, zone)
+        let replicas = self.services[flow.shards[shard].service].replicas.iter();
+        let is_due = |key: &UpstreamKey| {
+            self.replicas[*key].trial_due(now) && self.is_allowed(flow, shard, *key)
+        };
+        replicas.copied().rfind(is_due)
+    }
+
+    /// Whether a replica has not been tried yet for a shard and may be used by the route.
+    fn is_allowed(&self, flow: &Flow, shard: usize, key: UpstreamKey) -> bool {
+        let zone = &self.replicas[key].entry.zone;
+        !flow.shards[shard].tried.contains(&key)
+            && !self.evacuated_zones.contains(zone)
+            && self.settings.is_allowed(flow.route(), zone)
+    }
+
+    /// A replica that accepts work: drawn if any of them reports its load, otherwise the one with the lowest cost.
+    fn choose_accepting(
+        &mut self,
+        now: Timestamp,
+        flow: FlowKey,
+        shard: usize,
+        times: &ReplyTimes,
+    ) -> Option<UpstreamKey> {
+        let service = self.flows[flow].shards[shard].service;
+        self.end_warm_ups(now, flow, shard);
+        let settings = self.service_settings(service);
+        let limits = WorkLimits {
+            connections: self.connection_limits(&settings),
+            cold_sends: self.max_cold_sends(&settings),
+        };
+        let mut accepting = std::mem::take(&mut self.accepting);
+        self.collect_accepting(now, (flow, shard), limits, &mut accepting);
+        let reports = |key: &UpstreamKey| self.replicas[*key].report_age(now).is_some();
+        let chosen = if accepting.iter().any(reports) {
+            self.draw_replica(now, &accepting, times)
+        } else {
+            self.lowest_cost(now, &accepting, times)
         };
-        let replicas = self.services[shard.service].replicas.iter();
-        replicas.filter(is_allowed).copied().collect()
+        self.accepting = accepting;
+        chosen
     }
 
-    fn end_warm_ups(&mut self, now: Timestamp, replicas: &[UpstreamKey]) {
-        for key in replicas {
-            let replica = &mut self.replicas[*key];
-            if replica.is_warmed(now) {
+    /// Ends the warm-ups of a shard's replicas whose time has passed.
+    fn end_warm_ups(&mut self, now: Timestamp, flow: FlowKey, shard: usize) {
+        let service = self.flows[flow].shards[shard].service;
+        for index in 0..self.services[service].replicas.len() {
+            let key = self.services[service].replicas[index];
+            let ends =
+                self.replicas[key].is_warmed(now) && self.is_allowed(&self.flows[flow], shard, key);
+            if ends {
                 // Not recorded: the time of this change follows from the start of the warm-up.
-                let _change = replica.apply_event(
+                let _change = self.replicas[key].apply_event(
                     &self.replica_chart,
                     now,
                     ReplicaEvent::Warmed,
@@ -94,52 +138,80 @@
         }
     }
 
-    /// A replica that accepts work: drawn if any of them reports its load, otherwise the one with the lowest cost.
-    fn choose_accepting(
+    /// Replaces `accepting` by the replicas that accept an attempt for a shard: those within the preferred number of
+    /// connections, or within the highest one if there are none.
+    fn collect_accepting(
+        &self,
+        now: Timestamp,
+        (flow, shard): (FlowKey, usize),
+        limits: WorkLimits,
+        accepting: &mut Vec<UpstreamKey>,
+    ) {
+        let flow = &self.flows[flow];
+        let replicas = &self.services[flow.shards[shard].service].replicas;
+        let ConnectionLimits { preferred, most } = limits.connections;
+        let accepts = |key: &UpstreamKey, connections| {
+            let replica = &self.replicas[*key];
+            replica.accepts_work(now, connections, limits.cold_sends)
+                && self.is_allowed(flow, shard, *key)
+        };
+        accepting.clear();
+        accepting.extend(replicas.iter().filter(|key| accepts(key, preferred)));
+        if accepting.is_empty() && most > preferred {
+            accepting.extend(replicas.iter().filter(|key| accepts(key, most)));
+        }
+    }
+
+    /// Draws one of the replicas, judged by their reports.
+    fn draw_replica(
         &mut self,
         now: Timestamp,
-        service: ServiceKey,
-        allowed: &[UpstreamKey],
+        accepting: &[UpstreamKey],
         times: &ReplyTimes,
     ) -> Option<UpstreamKey> {
-        let settings = self.service_settings(service);
-        let cold_sends = self.max_cold_sends(&settings);
-        let accepting_with = |connections: u32| -> Vec<_> {
-            let replicas = allowed.iter().map(|key| (*key, &self.replicas[*key]));
-            replicas
-                .filter(|(_, replica)| replica.accepts_work(now, connections, cold_sends))
-                .collect()
+        let draw_times = DrawTimes {
+            objective: times.objective_secs(),
+            usual: times.mean_secs(),
+            zone_cost: self.zone_cost_secs(times),
         };
-        let limits = self.connection_limits(&settings);
-        let mut accepting = accepting_with(limits.preferred);
-        if accepting.is_empty() {
-            accepting = accepting_with(limits.most);
-        }
-        let zone_cost = self.settings.cross_zone_cost * times.objective_secs();
-        let in_own_zone = |replica: &Replica| replica.entry.zone == self.settings.zone;
-        if accepting
-            .iter()
-            .any(|(_, replica)| replica.report_age(now).is_some())
-        {
-            let candidates: Vec<_> = accepting
-                .iter()
-                .map(|(key, replica)| replica.candidate(now, *key, in_own_zone(replica), times))
-                .collect();
-            let times = DrawTimes {
-                objective: times.objective_secs(),
-                usual: times.mean_secs(),
-                zone_cost,
+        let candidates = accepting.iter().map(|key| {
+            let replica = &self.replicas[*key];
+            replica.candidate(
+                now,
+                *key,
+                self.settings.is_own_zone(&replica.entry.zone),
+                times,
+            )
+        });
+        self.draw.candidates.clear();
+        self.draw.candidates.extend(candidates);
+        let drawn = self.draw.draw(draw_times, &mut self.random);
+        drawn.map(|candidate| candidate.upstream)
+    }
+
+    /// The replica with the lowest cost, for replicas that send no reports.
+    fn lowest_cost(
+        &mut self,
+        now: Timestamp,
+        accepting: &[UpstreamKey],
+        times: &ReplyTimes,
+    ) -> Option<UpstreamKey> {
+        let zone_cost = self.zone_cost_secs(times);
+        let costs = accepting.iter().map(|key| {
+            let replica = &self.replicas[*key];
+            let zone_cost = if self.settings.is_own_zone(&replica.entry.zone) {
+                0.0
+            } else {
+                zone_cost
             };
-            let drawn = replica_draw::draw(&candidates, times, &mut self.random);
-            return drawn.map(|candidate| candidate.upstream);
-        }
-        let random = &mut self.random;
-        let costs = accepting.iter().map(|(key, replica)| {
-            let zone_cost = if in_own_zone(replica) { 0.0 } else { zone_cost };
             let cost = replica.expected_reply_secs(now, times) + zone_cost;
-            (cost + random.f64() * TIE_BREAK_SECS, *key)
+            (cost + self.random.f64() * TIE_BREAK_SECS, *key)
         });
         let lowest = costs.min_by(|(a, _), (b, _)| a.total_cmp(b));
         lowest.map(|(_, key)| key)
     }
+
+    fn zone_cost_secs(&self, times: &ReplyTimes) -> f64 {
+        self.settings.cross_zone_cost * times.objective_secs()
+    }
 }
--- a/crates/core/src/forward_sends.rs
+++ b/crates/core/src/forward_sends.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     forward_chart::{FlowEvent, FlowState},
+    forward_placement::Placement,
     forwarder::ForwardAttempt,
     prelude::*,
     reply_times::ReplyTimes,
@@ -25,6 +26,11 @@
 }
 
 impl SendCause {
+    /// Whether the attempt is charged to the budget of extra requests.
+    fn is_extra(self) -> bool {
+        !matches!(self, Self::Primary | Self::Resend)
+    }
+
     fn name(self) -> &'static str {
         match self {
             Self::Primary => "primary",
@@ -51,7 +57,7 @@
             return self.give_up_shard(flow, shard, denial, commands);
         }
         // The trial of a suspect is sent in addition, so that the caller does not have to wait for it.
-        if self.flows[flow].route().idempotent {
+        if self.flows[flow].route().idempotent && self.due_suspect(now, flow, shard).is_some() {
             let _untried = self.send_attempt(now, flow, shard, SendCause::Trial, commands);
         }
     }
@@ -60,90 +66,140 @@
     pub(crate) fn send_attempt(
         &mut self,
         now: Timestamp,
-        flow_key: FlowKey,
+        flow: FlowKey,
         shard: usize,
         cause: SendCause,
         commands: &mut Vec<ForwardCommand>,
     ) -> Result<(), SendDenial> {
-        let flow = &self.flows[flow_key];
-        if flow.deadline.at().since(now) < MIN_TIME_LEFT {
-            return Err(SendDenial::TooLittleTime);
-        }
-        let (route, table) = (flow.route, Arc::clone(&flow.table));
-        let route = table.route(route);
-        let service = flow.shards[shard].service;
-        if !flow
-            .deadline
-            .allows_attempt(now, || self.needed_reply_time(route))
-        {
-            return Err(SendDenial::TooLittleTime);
-        }
-        let objective = route.objective;
-        let times = *self
-            .reply_times
-            .entry(Arc::clone(&route.name))
-            .or_insert_with(|| ReplyTimes::new(objective));
-        let placement = self.choose_replica(now, flow_key, shard, &times, cause)?;
-        let upstream = placement.upstream;
-        if !matches!(cause, SendCause::Primary | SendCause::Resend) {
-            let limits = self.extra_load_limits();
-            let pool = &mut self.services[service];
-            let reserve = match cause {
-                SendCause::Hedge | SendCause::Trial => {
-                    pool.extra.allowance(&limits) * HEDGE_RESERVE_SHARE
-                }
-                _ => 0.0,
-            };
-            if !pool.extra.try_spend(now, &limits, reserve) {
-                return Err(SendDenial::BudgetExhausted);
-            }
-            commands.push(ForwardCommand::Record(ForwardTelemetry::ExtraAttempt {
-                request: Arc::clone(&self.flows[flow_key].request.id),
-                service: Arc::clone(&pool.name),
-                instance: Arc::clone(&self.replicas[upstream].entry.instance),
-                cause: cause.name(),
-                budget_left: pool.extra.remaining(now, &limits),
-                expected: placement.expected,
-                report_age: placement.report_age,
-            }));
+        self.check_time_left(now, flow)?;
+        let times = self.reply_times_of(flow);
+        let placement = self.choose_replica(now, flow, shard, &times, cause)?;
+        if cause.is_extra() {
+            let service = self.flows[flow].shards[shard].service;
+            let budget_left = self.spend_extra(now, service, cause)?;
+            let attempt = self.extra_attempt(flow, service, placement, cause, budget_left);
+            commands.push(ForwardCommand::Record(attempt));
         }
         let attempt = self.attempts.insert(ForwardAttempt {
-            flow: flow_key,
+            flow,
             shard,
-            upstream,
+            upstream: placement.upstream,
             sent: now,
             usual_secs: times.mean_secs(),
         });
-        let replica = &mut self.replicas[upstream];
+        self.record_send(now, attempt, placement, commands);
+        let hedge_at = now + times.late_after();
+        let command = self.start_attempt((flow, shard), attempt, placement, cause, hedge_at);
+        commands.push(command);
+        Ok(())
+    }
+
+    /// Checks that an attempt can still end before the deadline.
+    fn check_time_left(&self, now: Timestamp, flow: FlowKey) -> Result<(), SendDenial> {
+        let flow = &self.flows[flow];
+        let allows_attempt = flow
+            .deadline
+            .allows_attempt(now, || self.needed_reply_time(flow.route()));
+        if flow.deadline.at().since(now) < MIN_TIME_LEFT || !allows_attempt {
+            return Err(SendDenial::TooLittleTime);
+        }
+        Ok(())
+    }
+
+    /// Reply times of a request's route.
+    fn reply_times_of(&mut self, flow: FlowKey) -> ReplyTimes {
+        let route = self.flows[flow].route();
+        if let Some(times) = self.reply_times.get(&route.name) {
+            return *times;
+        }
+        let times = ReplyTimes::new(route.objective);
+        self.reply_times.insert(Arc::clone(&route.name), times);
+        times
+    }
+
+    /// Takes one extra request out of a service's budget. Returns what is left.
+    fn spend_extra(
+        &mut self,
+        now: Timestamp,
+        service: ServiceKey,
+        cause: SendCause,
+    ) -> Result<f64, SendDenial> {
+        let limits = self.extra_load_limits();
+        let extra = &mut self.services[service].extra;
+        let reserve = match cause {
+            SendCause::Hedge | SendCause::Trial => extra.allowance(&limits) * HEDGE_RESERVE_SHARE,
+            SendCause::Primary | SendCause::Resend | SendCause::Retry => 0.0,
+        };
+        if !extra.try_spend(now, &limits, reserve) {
+            return Err(SendDenial::BudgetExhausted);
+        }
+        Ok(extra.remaining(now, &limits))
+    }
+
+    fn extra_attempt(
+        &self,
+        flow: FlowKey,
+        service: ServiceKey,
+        placement: Placement,
+        cause: SendCause,
+        budget_left: f64,
+    ) -> ForwardTelemetry {
+        ForwardTelemetry::ExtraAttempt {
+            request: Arc::clone(&self.flows[flow].request.id),
+            service: Arc::clone(&self.services[service].name),
+            instance: Arc::clone(&self.replicas[placement.upstream].entry.instance),
+            cause: cause.name(),
+            budget_left,
+            expected: placement.expected,
+            report_age: placement.report_age,
+        }
+    }
+
+    /// Records an attempt with its replica.
+    fn record_send(
+        &mut self,
+        now: Timestamp,
+        attempt: AttemptKey,
+        placement: Placement,
+        commands: &mut Vec<ForwardCommand>,
+    ) {
+        let replica = &mut self.replicas[placement.upstream];
         replica.record_send(now, attempt);
         if placement.is_trial {
-            let change = replica.apply_event(
-                &self.replica_chart,
-                now,
-                ReplicaEvent::TrialSent,
-                Duration::ZERO,
-            );
+            let event = ReplicaEvent::TrialSent;
+            let change = replica.apply_event(&self.replica_chart, now, event, Duration::ZERO);
             commands.extend(change.map(ForwardCommand::Record));
         }
-        let flow = &mut self.flows[flow_key];
+    }
+
+    /// Records an attempt with its shard and returns the command that sends it.
+    fn start_attempt(
+        &mut self,
+        (flow, shard): (FlowKey, usize),
+        attempt: AttemptKey,
+        placement: Placement,
+        cause: SendCause,
+        hedge_at: Timestamp,
+    ) -> ForwardCommand {
+        let flow = &mut self.flows[flow];
+        let (idempotent, max_attempts) = (flow.route().idempotent, flow.route().max_attempts);
         let shard = &mut flow.shards[shard];
-        shard.running.push((attempt, upstream));
-        shard.tried.push(upstream);
+        shard.running.push((attempt, placement.upstream));
+        shard.tried.push(placement.upstream);
         shard.possible_runs += 1;
-        let may_hedge = route.idempotent && shard.possible_runs < route.max_attempts;
         if cause != SendCause::Trial {
-            shard.hedge_at = may_hedge.then(|| now + times.late_after());
+            let may_hedge = idempotent && shard.possible_runs < max_attempts;
+            shard.hedge_at = may_hedge.then_some(hedge_at);
         }
-        commands.push(ForwardCommand::SendAttempt {
+        ForwardCommand::SendAttempt {
             attempt,
-            upstream,
+            upstream: placement.upstream,
             request: Arc::clone(&flow.request),
             identity: flow.identity.clone(),
             deadline: flow.deadline.at(),
-            at_most_once: !route.idempotent,
+            at_most_once: !idempotent,
             report_age: placement.report_age,
-        });
-        Ok(())
+        }
     }
 
     /// Answers the request if the state of its shards decides it.
--- a/crates/core/src/forwarder.rs
+++ b/crates/core/src/forwarder.rs
@@ -8,6 +8,7 @@
     forward_quota::WaitingRequest,
     prelude::*,
     replica::Replica,
+    replica_draw::ReplicaDraw,
     reply_times::ReplyTimes,
     request_quarantine::RequestQuarantine,
     served_shares::ServedShares,
@@ -76,11 +77,18 @@
 }
 
 impl ForwarderSettings {
+    /// Whether a zone is that of this node.
+    pub(crate) fn is_own_zone(&self, zone: &Arc<str>) -> bool {
+        *zone == self.zone
+    }
+
     /// Whether a route's requests may be sent to upstreams in a zone.
     pub(crate) fn is_allowed(&self, route: &Route, zone: &Arc<str>) -> bool {
+        if route.regions.is_empty() {
+            return true;
+        }
         let region = self.regions.get(zone);
-        route.regions.is_empty()
-            || region.is_some_and(|region| route.regions.iter().any(|r| **r == **region))
+        region.is_some_and(|region| route.regions.iter().any(|r| **r == **region))
     }
 }
 
@@ -120,6 +128,10 @@
     /// When the requests that wait are decided again.
     pub(crate) waiting_retry_at: Timestamp,
     pub(crate) random: fastrand::Rng,
+    /// Buffer of the choice of a replica: those that accept an attempt.
+    pub(crate) accepting: Vec<UpstreamKey>,
+    /// Buffers of the draw among them.
+    pub(crate) draw: ReplicaDraw,
     pub(crate) flow_chart: Chart<FlowMachine>,
     pub(crate) replica_chart: Chart<ReplicaMachine>,
 }
@@ -188,6 +200,8 @@
             waiting: Vec::new(),
             waiting_retry_at: Timestamp::ZERO,
             random,
+            accepting: Vec::new(),
+            draw: ReplicaDraw::default(),
             flow_chart: Chart::load()?,
             replica_chart: Chart::load()?,
         })
--- a/crates/core/src/replica_draw.rs
+++ b/crates/core/src/replica_draw.rs
@@ -43,49 +43,58 @@
     pub(crate) zone_cost: f64,
 }
 
-/// Draws a candidate; `None` if there are none.
-pub(crate) fn draw(
-    candidates: &[Candidate],
-    times: DrawTimes,
-    rng: &mut fastrand::Rng,
-) -> Option<Candidate> {
-    let eligible = eligible(candidates, times);
-    let lowest = lowest_expected(&eligible)?;
-    let weight = |candidate: &Candidate| {
-        let excess = candidate.expected_secs - lowest + candidate.failure_secs * FAILURE_FACTOR;
-        let spread = times.usual * SPREAD_SHARE;
-        candidate.free_capacity.powi(FREE_CAPACITY_POWER) * (-excess / spread).exp()
-    };
-    let weights: Vec<f64> = eligible.iter().map(weight).collect();
-    let mut left = rng.f64() * weights.iter().sum::<f64>();
-    let drawn = weights.iter().position(|weight| {
-        left -= weight;
-        left < 0.0
-    });
-    // All weights are 0 if every slot is in use for certain.
-    let quickest = || {
-        eligible
-            .iter()
-            .position(|candidate| candidate.expected_secs <= lowest)
-    };
-    drawn.or_else(quickest).map(|index| eligible[index])
+/// Candidates and their weights, kept between draws so that a draw allocates nothing.
+#[derive(Debug, Default)]
+pub(crate) struct ReplicaDraw {
+    pub(crate) candidates: Vec<Candidate>,
+    /// Weight of each candidate, in the same order.
+    weights: Vec<f64>,
 }
 
-/// Candidates in this zone, and those in other zones if they are worth the cost of the traffic.
-fn eligible(candidates: &[Candidate], times: DrawTimes) -> Vec<Candidate> {
-    let (near, far): (Vec<_>, Vec<_>) = candidates
-        .iter()
-        .partition(|candidate| candidate.in_own_zone);
-    let Some(near_secs) = lowest_expected(&near) else {
-        return far;
-    };
-    let is_late = |secs: f64| secs >= times.objective * LATE_SHARE;
-    let worth_the_cost = |candidate: &Candidate| {
-        let in_time_instead = is_late(near_secs) && !is_late(candidate.expected_secs);
-        in_time_instead || candidate.expected_secs + times.zone_cost < near_secs
-    };
-    let far = far.into_iter().filter(worth_the_cost);
-    near.iter().copied().chain(far).collect()
+impl ReplicaDraw {
+    /// Draws one of the candidates, which it reorders and reduces; `None` if there are none.
+    pub(crate) fn draw(&mut self, times: DrawTimes, rng: &mut fastrand::Rng) -> Option<Candidate> {
+        self.retain_eligible(times);
+        let lowest = lowest_expected(&self.candidates)?;
+        let weight = |candidate: &Candidate| {
+            let excess = candidate.expected_secs - lowest + candidate.failure_secs * FAILURE_FACTOR;
+            let spread = times.usual * SPREAD_SHARE;
+            candidate.free_capacity.powi(FREE_CAPACITY_POWER) * (-excess / spread).exp()
+        };
+        self.weights.clear();
+        self.weights.extend(self.candidates.iter().map(weight));
+        let mut left = rng.f64() * self.weights.iter().sum::<f64>();
+        let drawn = self.weights.iter().position(|weight| {
+            left -= weight;
+            left < 0.0
+        });
+        // All weights are 0 if every slot is in use for certain.
+        let quickest = || {
+            self.candidates
+                .iter()
+                .position(|candidate| candidate.expected_secs <= lowest)
+        };
+        drawn.or_else(quickest).map(|index| self.candidates[index])
+    }
+
+    /// Keeps candidates in this zone, followed by those in other zones that are worth the cost of the traffic.
+    fn retain_eligible(&mut self, times: DrawTimes) {
+        self.candidates
+            .sort_by_key(|candidate| !candidate.in_own_zone);
+        let near = self
+            .candidates
+            .partition_point(|candidate| candidate.in_own_zone);
+        let Some(near_secs) = lowest_expected(&self.candidates[..near]) else {
+            return;
+        };
+        let is_late = |secs: f64| secs >= times.objective * LATE_SHARE;
+        self.candidates.retain(|candidate| {
+            let in_time_instead = is_late(near_secs) && !is_late(candidate.expected_secs);
+            candidate.in_own_zone
+                || in_time_instead
+                || candidate.expected_secs + times.zone_cost < near_secs
+        });
+    }
 }
 
 fn lowest_expected(candidates: &[Candidate]) -> Option<f64> {
--- a/crates/core/src/routing.rs
+++ b/crates/core/src/routing.rs
@@ -3,6 +3,9 @@
 use crate::prelude::*;
 use std::collections::HashMap;
 
+/// Tolerance for the rounding of a share of the shards.
+const SHARE_TOLERANCE: f64 = 1e-9;
+
 /// Routes, services and caller limits of one published configuration.
 #[derive(Debug, Default)]
 pub struct RoutingTable {
@@ -179,4 +182,15 @@
             Target::Shards(shards) => shards.services.clone(),
         }
     }
+
+    /// Number of shards that must reply for an answer to be a success; 0 if the route states no share.
+    pub fn needed_shards(&self) -> usize {
+        match &self.target {
+            Target::Service(_) | Target::Split(_) => 1,
+            Target::Shards(target) => {
+                let share = target.min_coverage * target.services.len() as f64;
+                (share - SHARE_TOLERANCE).ceil() as usize
+            }
+        }
+    }
 }
--- a/crates/core/tests/forwarding/decisions.rs
+++ b/crates/core/tests/forwarding/decisions.rs
@@ -379,3 +379,14 @@
     let waited = Duration::from_millis(110);
     assert_eq!(cut_off, [("shard-0@z-a".to_owned(), waited)]);
 }
+
+/// Guards against requiring one shard more than the route states, because its share is rounded up.
+#[test]
+fn needed_shards_do_not_depend_on_rounding() {
+    let needed = |count, share| route("q", shards_target(count, share)).needed_shards();
+
+    assert_eq!(needed(30, 0.1), 3);
+    assert_eq!(needed(10, 0.75), 8);
+    assert_eq!(needed(3, 1.0), 3);
+    assert_eq!(service_route("a").needed_shards(), 1);
+}
