Withdraw sub-requests that are not written when an upstream turns cold

Cause: a sub-request that the engine allowed because the upstream was warm may wait for a thread, a connection or a handshake. Change: the engine issues a permit with each sub-request and withdraws the permits when the upstream ceases to be warm; the permit is checked when the job is taken and when its body is written, and the outcome is NotSent.

--- a/crates/core/src/command.rs
+++ b/crates/core/src/command.rs
@@ -36,6 +36,9 @@
         /// Upstream that it was sent to.
         upstream: UpstreamKey,
     },
+    /// Don't write the sub-requests to an upstream that were commanded before and are not written yet, because it has
+    /// ceased to be warm. Their outcome is [`Outcome::NotSent`].
+    WithdrawUnsent(UpstreamKey),
     /// Probe the health of an upstream, which does not count as work there.
     Probe(UpstreamKey),
     /// Answer a search query.
--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -125,7 +125,7 @@
                     .record_probe(now, upstream, report, commands);
             }
             Event::News(news) => {
-                self.shared.upstreams.apply_news(now, &news);
+                self.shared.upstreams.apply_news(now, &news, commands);
                 self.searches
                     .handle_news(&mut self.shared, now, &news, commands);
             }
--- a/crates/core/src/upstream_chart.rs
+++ b/crates/core/src/upstream_chart.rs
@@ -22,6 +22,16 @@
     }
 }
 
+impl UpstreamCondition {
+    /// Whether only the owner of its warm-up may send to it.
+    pub fn is_cold(self) -> bool {
+        match self {
+            Self::Unknown | Self::Probing | Self::Warming | Self::Suspect => true,
+            Self::Warm | Self::Leaving | Self::Out => false,
+        }
+    }
+}
+
 vocabulary! {
     /// Events of `charts/upstream.toml`.
     pub enum UpstreamEvent {
--- a/crates/core/src/upstream_member.rs
+++ b/crates/core/src/upstream_member.rs
@@ -16,6 +16,7 @@
 /// An upstream of the current bundle, with its health and load.
 #[derive(Debug)]
 pub(crate) struct UpstreamMember {
+    pub(crate) key: UpstreamKey,
     pub(crate) spec: Upstream,
     pub(crate) ramp: RampSettings,
     /// Whether the upstream and its zone take new work.
@@ -33,12 +34,14 @@
 impl UpstreamMember {
     /// An upstream to which nothing was sent.
     pub(crate) fn new(
+        key: UpstreamKey,
         spec: Upstream,
         ramp: RampSettings,
         health: UpstreamHealth,
         connections: u32,
     ) -> Self {
         Self {
+            key,
             limiter: UpstreamLimiter::new(spec.slots, connections),
             spec,
             ramp,
@@ -75,10 +78,27 @@
         commands: &mut Vec<Command>,
     ) {
         let ramp = self.ramp;
-        let news = self.health.apply_event(chart, now, &ramp, event);
+        let news = self.change_health(commands, |health| {
+            health.apply_event(chart, now, &ramp, event)
+        });
         self.share_news(news, commands);
     }
 
+    /// Changes the health. If the upstream ceases to be warm, attempts that were allowed for a warm one are withdrawn
+    /// as far as they have not been written: however long they wait for a connection, they would overload a cold one.
+    pub(crate) fn change_health<T>(
+        &mut self,
+        commands: &mut Vec<Command>,
+        change: impl FnOnce(&mut UpstreamHealth) -> T,
+    ) -> T {
+        let was_warm = self.health.condition() == UpstreamCondition::Warm;
+        let result = change(&mut self.health);
+        if was_warm && self.health.condition().is_cold() {
+            commands.push(Command::WithdrawUnsent(self.key));
+        }
+        result
+    }
+
     /// Updates limiter and latency by the end of an attempt.
     pub(crate) fn observe_load(&mut self, now: Timestamp, sent: Timestamp, reply: &Reply) {
         let time = now.since(sent);
@@ -132,10 +152,7 @@
     /// Status for operators. `owns_warm_up` says whether this node owns the upstream's warm-up.
     pub(crate) fn status(&self, owns_warm_up: bool) -> UpstreamStatus {
         let condition = self.health.condition();
-        let cold = !matches!(
-            condition,
-            UpstreamCondition::Warm | UpstreamCondition::Leaving | UpstreamCondition::Out
-        );
+        let cold = condition.is_cold();
         let mut reason = state_reason(condition).map(str::to_owned);
         if let Some(reason) = reason.as_mut().filter(|_| cold && owns_warm_up) {
             reason.push_str("; this node owns its warm-up");
--- a/crates/core/src/upstreams.rs
+++ b/crates/core/src/upstreams.rs
@@ -118,8 +118,9 @@
         let connections = self.connection_share(spec);
         let ramp = ramp_settings(spec, bundle);
         let health = UpstreamHealth::new(&self.chart, &ramp);
-        let member = UpstreamMember::new(spec.clone(), ramp, health, connections);
-        let key = self.arena.insert(member);
+        let key = self.arena.insert_with_key(|key| {
+            UpstreamMember::new(key, spec.clone(), ramp, health, connections)
+        });
         self.by_name.insert(spec.name.clone(), key);
         commands.push(Command::OpenUpstream {
             upstream: key,
@@ -177,7 +178,7 @@
     }
 
     /// Applies a peer's news of an upstream.
-    pub(crate) fn apply_news(&mut self, now: Timestamp, news: &News) {
+    pub(crate) fn apply_news(&mut self, now: Timestamp, news: &News, commands: &mut Vec<Command>) {
         let (upstream, started_at_ms, round, warm) = match news {
             News::Cold {
                 upstream,
@@ -195,12 +196,14 @@
             return;
         };
         let member = &mut self.arena[key];
-        let (ramp, news) = (member.ramp, (started_at_ms, round));
-        if warm {
-            member.health.apply_warm_news(&self.chart, now, &ramp, news);
-        } else {
-            member.health.apply_cold_news(&self.chart, now, &ramp, news);
-        }
+        let (chart, ramp, news) = (&self.chart, member.ramp, (started_at_ms, round));
+        member.change_health(commands, |health| {
+            if warm {
+                health.apply_warm_news(chart, now, &ramp, news);
+            } else {
+                health.apply_cold_news(chart, now, &ramp, news);
+            }
+        });
     }
 
     /// Resets upstreams that peers may have found cold while their news could not reach this node.
@@ -373,14 +376,10 @@
         };
         member.observe_load(now, sent, reply);
         member.record_end(now, &reply.outcome);
-        let (ramp, report) = (member.ramp, reply.report.as_ref());
-        let news = member.health.record_attempt_end(
-            &self.chart,
-            (now, sent),
-            &ramp,
-            &reply.outcome,
-            report,
-        );
+        let (chart, ramp, report) = (&self.chart, member.ramp, reply.report.as_ref());
+        let news = member.change_health(commands, |health| {
+            health.record_attempt_end(chart, (now, sent), &ramp, &reply.outcome, report)
+        });
         if self.policy == PolicyMode::Adaptive {
             member.share_news(news, commands);
         }
--- a/crates/core/tests/lapses.rs
+++ b/crates/core/tests/lapses.rs
@@ -194,3 +194,29 @@
 
     assert_eq!((at_once, later), (0, 1));
 }
+
+/// Guards against a request that was decided while the upstream was warm, waits for a connection, and arrives after the
+/// node has learned that the upstream is cold.
+#[test]
+fn unsent_requests_are_withdrawn_once_an_upstream_is_found_cold() {
+    let is_withdrawal = |command: &Command| matches!(command, Command::WithdrawUnsent(_));
+    let mut engine = non_owner();
+    let (sent, told) = (Timestamp::from_millis(100), Timestamp::from_millis(200));
+    let (mut before, mut commands) = (Vec::new(), Vec::new());
+    engine.handle(
+        sent,
+        Event::Search(search(Duration::from_millis(500))),
+        &mut before,
+    );
+
+    engine.handle(told, Event::News(cold_news()), &mut commands);
+
+    let sends_to = before.iter().find_map(sent_attempt);
+    let withdrawn = commands.iter().find_map(|command| match command {
+        Command::WithdrawUnsent(upstream) => Some(*upstream),
+        _ => None,
+    });
+    assert!(!before.iter().any(is_withdrawal));
+    assert_eq!(withdrawn, sends_to.map(|(_, upstream)| upstream));
+    assert!(withdrawn.is_some());
+}
--- a/crates/node/src/engine_task.rs
+++ b/crates/node/src/engine_task.rs
@@ -4,6 +4,7 @@
     forwarded_calls::ForwardedBooking,
     prelude::*,
     recent_refusals::RecentRefusals,
+    send_permit::PermitIssuer,
     status_json::EngineReport,
     upstream_task::{self, UpstreamMessage, UpstreamSender},
 };
@@ -120,7 +121,7 @@
     node: Arc<str>,
     callers: SlotMap<CallerKey, WaitingCaller>,
     callers_by_call: HashMap<CallId, CallerKey>,
-    upstreams: HashMap<UpstreamKey, UpstreamSender>,
+    upstreams: HashMap<UpstreamKey, UpstreamHandle>,
     notices: mpsc::UnboundedSender<EngineNotice>,
     own_sender: EngineSender,
     refusals: RecentRefusals,
@@ -128,6 +129,12 @@
     workspace_classes: HashMap<String, String>,
 }
 
+/// The engine task's side of an upstream task.
+struct UpstreamHandle {
+    tx: UpstreamSender,
+    permits: PermitIssuer,
+}
+
 struct WaitingCaller {
     call: CallId,
     result: oneshot::Sender<CallResult>,
@@ -265,8 +272,8 @@
                 connections,
             } => self.open_upstream(upstream, spec, connections),
             Command::RetireUpstream(upstream) => {
-                if let Some(tx) = self.upstreams.remove(&upstream) {
-                    let _ended = tx.send(UpstreamMessage::Retire);
+                if let Some(handle) = self.upstreams.remove(&upstream) {
+                    let _ended = handle.tx.send(UpstreamMessage::Retire);
                 }
             }
             Command::Send {
@@ -277,17 +284,25 @@
                 not_after,
             } => {
                 self.metrics.record_sent_request(&request);
-                let job = upstream_task::Job {
-                    attempt,
-                    request,
-                    deadline,
-                    not_after,
-                };
-                self.send_to_upstream(upstream, UpstreamMessage::Send(job));
+                if let Some(handle) = self.upstreams.get(&upstream) {
+                    let job = upstream_task::Job {
+                        attempt,
+                        request,
+                        deadline,
+                        not_after,
+                        permit: handle.permits.issue(),
+                    };
+                    let _ended = handle.tx.send(UpstreamMessage::Send(job));
+                }
             }
             Command::Cancel { attempt, upstream } => {
                 self.send_to_upstream(upstream, UpstreamMessage::Cancel(attempt));
             }
+            Command::WithdrawUnsent(upstream) => {
+                if let Some(handle) = self.upstreams.get(&upstream) {
+                    handle.permits.withdraw();
+                }
+            }
             Command::Probe(upstream) => self.send_to_upstream(upstream, UpstreamMessage::Probe),
             Command::AnswerQuery {
                 caller,
@@ -342,7 +357,9 @@
 
     fn open_upstream(&mut self, upstream: UpstreamKey, spec: Upstream, max_connections: u32) {
         let (tx, rx) = mpsc::unbounded_channel();
-        self.upstreams.insert(upstream, tx);
+        let permits = PermitIssuer::new();
+        self.upstreams
+            .insert(upstream, UpstreamHandle { tx, permits });
         let parts = upstream_task::UpstreamParts {
             upstream,
             spec,
@@ -371,8 +388,8 @@
     }
 
     fn send_to_upstream(&self, upstream: UpstreamKey, message: UpstreamMessage) {
-        if let Some(tx) = self.upstreams.get(&upstream) {
-            let _ended = tx.send(message);
+        if let Some(handle) = self.upstreams.get(&upstream) {
+            let _ended = handle.tx.send(message);
         }
     }
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod registry_watcher;
 pub mod relay;
 pub mod reply_memory;
+pub mod send_permit;
 pub mod settings;
 pub mod status_json;
 pub mod tls;
--- a/crates/node/src/upstream_http.rs
+++ b/crates/node/src/upstream_http.rs
@@ -1,6 +1,10 @@
 //! HTTP requests to the upstreams of a bundle: sub-requests, cancellations and health probes.
 
-use crate::{prelude::*, upstream_task::Job};
+use crate::{
+    prelude::*,
+    send_permit::{PermitWithdrawn, PermittedBody},
+    upstream_task::Job,
+};
 use awc::{
     Client, ClientResponse, Connector,
     error::{ConnectError, SendRequestError},
@@ -114,6 +118,7 @@
     if let Some(version) = version {
         request = request.insert_header(("x-index-version", version.to_string()));
     }
+    let body = PermittedBody::new(Bytes::from(body), job.permit.clone());
     match request.send_body(body).await {
         Ok(response) => read_reply(response, &job.request).await,
         // The client also reports a connection that the peer closed after the request was sent as a connect error.
@@ -121,6 +126,9 @@
             (Outcome::Broken, None)
         }
         Err(SendRequestError::Connect(_)) => (Outcome::NotSent, None),
+        Err(SendRequestError::Body(error)) if error.is::<PermitWithdrawn>() => {
+            (Outcome::NotSent, None)
+        }
         Err(_) => (Outcome::Broken, None),
     }
 }
--- a/crates/node/src/upstream_task.rs
+++ b/crates/node/src/upstream_task.rs
@@ -5,6 +5,7 @@
         self, Connection, ConnectionAction, ConnectionEvent, ConnectionMachine, JobResult,
     },
     prelude::*,
+    send_permit::SendPermit,
     upstream_http,
 };
 use slotmap::new_key_type;
@@ -49,6 +50,8 @@
     pub deadline: Timestamp,
     /// Time from which the sub-request must not be sent any more.
     pub not_after: Timestamp,
+    /// Permit that is checked when the sub-request is written.
+    pub permit: SendPermit,
 }
 
 /// What an upstream task is built from.
@@ -125,11 +128,11 @@
         self.dispatch().await;
     }
 
-    /// Assigns waiting jobs to connections, in order. Jobs that are too late are reported as not sent.
+    /// Assigns waiting jobs to connections, in order. Jobs that are too late or withdrawn are reported as not sent.
     async fn dispatch(&mut self) {
         while let Some(job) = self.waiting_jobs.front() {
             let now = self.parts.clock.now();
-            if now >= job.not_after || now >= job.deadline {
+            if now >= job.not_after || now >= job.deadline || !job.permit.is_valid() {
                 let job = self
                     .waiting_jobs
                     .pop_front()
--- a/crates/node/tests/connections.rs
+++ b/crates/node/tests/connections.rs
@@ -1,11 +1,13 @@
 //! Connections to upstreams: each attempt gets exactly one reply with the right outcome, and a booking never runs on a
 //! connection that the upstream may already have closed.
 
+use actix_http::body;
 use medlarpost_core::prelude::*;
 use medlarpost_node::{
     clock::Clock,
     engine_task::EngineMessage,
     metrics::Metrics,
+    send_permit::{PermitIssuer, PermittedBody},
     upstream_task::{self, Job, UpstreamMessage, UpstreamParts, UpstreamSender},
 };
 use std::net::SocketAddr;
@@ -36,6 +38,7 @@
     task: actix_rt::task::JoinHandle<()>,
     clock: Clock,
     attempts: SlotMap<AttemptKey, ()>,
+    permits: PermitIssuer,
 }
 
 impl Fixture {
@@ -62,6 +65,7 @@
             task,
             clock,
             attempts,
+            permits: PermitIssuer::new(),
         }
     }
 
@@ -78,6 +82,7 @@
             request,
             deadline,
             not_after: deadline,
+            permit: self.permits.issue(),
         };
         self.tx
             .send(UpstreamMessage::Send(job))
@@ -279,3 +284,40 @@
     let text = String::from_utf8_lossy(&text[..read]).into_owned();
     assert!(text.starts_with("POST /v1/cancel/n-1-"), "{text}");
 }
+
+/// Guards against a sub-request that reaches an upstream after the node has learned that it is cold, because it waited
+/// for a connection meanwhile.
+#[actix_rt::test]
+async fn withdrawn_sub_request_that_waits_is_not_sent() {
+    let (address, mut requests) = start_upstream(&[Behaviour::Answer]).await;
+    let mut fixture = Fixture::new(address);
+
+    fixture.book(Duration::from_secs(30));
+    fixture.permits.withdraw();
+    let withdrawn = fixture.next_reply().await;
+    fixture.book(Duration::from_secs(30));
+    let later = fixture.next_reply().await;
+
+    assert!(
+        matches!(withdrawn.outcome, Outcome::NotSent),
+        "{withdrawn:?}"
+    );
+    assert!(matches!(later.outcome, Outcome::Booked(_)), "{later:?}");
+    assert_eq!(fixture.count_surplus_replies().await, 0);
+    assert_eq!(requests.try_recv().ok(), Some(0));
+    assert!(requests.try_recv().is_err(), "one request arrives");
+}
+
+/// Guards against the same while the connection opens: the body is written only then.
+#[actix_rt::test]
+async fn body_is_not_written_after_its_permit_was_withdrawn() {
+    let permits = PermitIssuer::new();
+    let new_body = || PermittedBody::new("{}".into(), permits.issue());
+    let (valid, withdrawn) = (body::to_bytes(new_body()).await, new_body());
+
+    permits.withdraw();
+    let written = body::to_bytes(withdrawn).await;
+
+    assert_eq!(valid.expect("it is permitted"), "{}");
+    assert!(written.is_err(), "{written:?}");
+}
