--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -59,6 +59,7 @@
 pub mod registry_bounds;
 pub mod registry_contact;
 pub mod registry_contact_chart;
+pub mod registry_entries;
 pub mod registry_readers;
 pub mod registry_relay;
 pub mod registry_source_chart;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -55,6 +55,7 @@
 mod peer_links;
 mod reader_polls;
 mod redeem_calls;
+mod registry_contents;
 mod registry_follower;
 mod snapshot_exchange;
 mod status_metrics;
--- a/crates/node/src/registry_follower.rs
+++ b/crates/node/src/registry_follower.rs
@@ -6,10 +6,11 @@
 use crate::{
     prelude::*,
     reader_polls::{self, PolledReply, ReaderPolls},
-    registry::{Registry, RegistryDocument, Removal},
-    registry_watcher::{ContentSource, RegistryWatcher},
+    registry::Registry,
+    registry_contents::GraceRules,
+    registry_watcher::RegistryWatcher,
 };
-use std::{collections::HashSet, io};
+use std::io;
 use tokio::time::Instant;
 
 /// Longest random delay before a follower that has lost its reader reads the store. When all readers fail at once, the
@@ -53,8 +54,8 @@
 impl<R: Registry> RegistryWatcher<R> {
     /// Polls the reader until its followers must read the store, or it is no longer the one to follow.
     pub(crate) async fn follow(&mut self, reader: SocketAddr) {
-        info!(self.log, "registry_following"; "reader" => %reader, "revision" => self.revision);
-        let mut polls = ReaderPolls::start(reader, self.confirmation.clock());
+        info!(self.log, "registry_following"; "reader" => %reader, "revision" => self.contents.revision);
+        let mut polls = ReaderPolls::start(reader, self.contents.confirmation.clock());
         polls.send(self.next_poll(Duration::ZERO));
         let fault = loop {
             match self.next_follow_event(&mut polls).await {
@@ -81,7 +82,7 @@
 
     fn next_poll(&self, wait: Duration) -> RegistryPoll {
         RegistryPoll {
-            after: self.revision.unwrap_or(0),
+            after: self.contents.revision.unwrap_or(0),
             wait,
         }
     }
@@ -103,14 +104,14 @@
 
     /// Time until the view is so old that this node must read the store.
     fn view_time_left(&self) -> Duration {
-        let age = self.view_age();
+        let age = self.contents.view_age();
         age.map_or(Duration::ZERO, |age| {
             self.limits().max_view_age.saturating_sub(age)
         })
     }
 
     async fn stop_following(&mut self, reader: SocketAddr, fault: &FollowFault) {
-        let age_ms = self.view_age().map(|age| age.as_millis() as u64);
+        let age_ms = self.contents.view_age().map(|age| age.as_millis() as u64);
         let detail = match fault {
             FollowFault::Lost(fault) => fault.to_string(),
             _ => String::new(),
@@ -145,7 +146,7 @@
         }
         let read_at = reply.ages.view_ms.and_then(|age| timing.time_of(age));
         let read_at = read_at.ok_or(FollowFault::Unconfirmed)?;
-        if reply.snapshot.revision < self.items.borrow().revision() {
+        if reply.snapshot.revision < self.contents.latest_revision() {
             // The reader has not read yet what this node has read.
             self.metrics.record_registry_poll("behind");
             return Ok(());
@@ -174,11 +175,13 @@
             .apply_relayed(self.clock.now(), read, &self.limits());
         self.handle_regained_contact(before);
         let configuration_at = reply.ages.configuration_ms;
-        self.apply_reply_content(reply);
+        let limits = self.limits();
+        let rules = GraceRules::new(self.clock.now(), &self.contact, limits);
+        self.contents.apply_reply(reply, rules);
         self.deregister_expired();
         let configuration_at = configuration_at.and_then(|age| timing.time_of(age));
         if let Some(at) = configuration_at {
-            self.confirm_configuration(at);
+            self.contents.confirm_configuration(at);
         }
         self.confirm_view(read_at);
         self.readers.handle_relayed_read(self.clock.now());
@@ -191,87 +194,26 @@
         if snapshot.items.is_empty() && removals.is_empty() {
             return;
         }
-        let age = self.confirmation.now().since(read_at);
-        info!(self.log, "registry_reply_applied"; "reader" => %reader, "from" => self.revision,
+        let age = self.contents.confirmation.now().since(read_at);
+        info!(self.log, "registry_reply_applied"; "reader" => %reader, "from" => self.contents.revision,
             "revision" => snapshot.revision, "written" => snapshot.items.len(), "removed" => removals.len(),
             "all_items" => !reply.changes_only, "age_ms" => age.as_millis() as u64);
     }
 
     /// Time on the clock that grace periods are measured with.
     fn timestamp_of(&self, at: BootTime) -> Timestamp {
-        let (now, boot_now) = (self.clock.now(), self.confirmation.now());
+        let (now, boot_now) = (self.clock.now(), self.contents.confirmation.now());
         now + at.since(boot_now) - boot_now.since(at)
     }
 
-    fn apply_reply_content(&mut self, reply: RegistryReply) {
-        let RegistryReply {
-            snapshot,
-            changes_only,
-            removals,
-            ..
-        } = reply;
-        if !changes_only {
-            let _instances = self.apply_listing(snapshot, ContentSource::Reader);
-            for removal in removals {
-                // A refused entry has a key, so that the listing has not begun a grace period for good.
-                self.apply_relayed_removal(removal, Timestamp::ZERO);
-            }
-            return;
-        }
-        self.record_revision(snapshot.revision);
-        let grace_until = self.grace_end(self.count_relayed_removals(&removals));
-        for removal in removals {
-            self.apply_relayed_removal(removal, grace_until);
-        }
-        for item in snapshot.items {
-            if let Some(document) = self.registry.parse_item(&item) {
-                self.apply_write(item, document, ContentSource::Reader);
-            }
-        }
-    }
-
-    /// Number of registered entries that disappear with these removals.
-    fn count_relayed_removals(&self, removals: &[RelayedRemoval]) -> usize {
-        let gone = removals.iter().filter(|removal| removal.refused.is_none());
-        let gone: HashSet<_> = gone
-            .filter_map(|removal| self.registry.parse_removal(&removal.key))
-            .filter_map(|removal| match removal {
-                Removal::UpstreamRemoved(instance) => Some(instance),
-                _ => None,
-            })
-            .filter(|instance| self.is_registered_and_present(instance))
-            .collect();
-        gone.len()
-    }
-
-    /// Applies the removal of an item as the reader did: a refused entry has no grace period.
-    fn apply_relayed_removal(&mut self, removal: RelayedRemoval, grace_until: Timestamp) {
-        let RelayedRemoval { key, refused } = removal;
-        let Some(value) = refused else {
-            self.apply_removal(&key, grace_until);
-            return;
-        };
-        let item = PublishedItem { key, value };
-        match self.registry.parse_item(&item) {
-            Some(RegistryDocument::Upstream(registration)) => {
-                self.histories.record_refused(&registration);
-                self.withdraw(&item, &registration.upstream.instance);
-            }
-            Some(RegistryDocument::UnreadableUpstream { instance, .. }) => {
-                self.withdraw(&item, &instance);
-            }
-            _ => {}
-        }
-    }
-
     /// Polls a random reader while this node can't read the store. Returns whether the reply counts as a read: the reader
     /// has read the store after this node's reads began to fail, and recently.
     pub(crate) async fn poll_any_reader(&mut self) -> bool {
         let Some(reader) = fastrand::choice(self.readers.readers()).copied() else {
             return false;
         };
-        let clock = self.confirmation.clock();
-        let after = self.revision.unwrap_or(0);
+        let clock = self.contents.confirmation.clock();
+        let after = self.contents.revision.unwrap_or(0);
         let polled = match reader_polls::poll_once(reader, after, clock).await {
             Ok(polled) => polled,
             Err(fault) => {
@@ -290,8 +232,8 @@
         let Some(read_at) = ages.view_ms.and_then(|age| polled.timing.time_of(age)) else {
             return false;
         };
-        let age = self.confirmation.now().since(read_at);
-        polled.reply.snapshot.revision >= self.items.borrow().revision()
+        let age = self.contents.confirmation.now().since(read_at);
+        polled.reply.snapshot.revision >= self.contents.latest_revision()
             && age < self.limits().max_view_age
             && self.contact.is_after_failures(self.timestamp_of(read_at))
     }
--- a/crates/node/tests/registry_followers.rs
+++ b/crates/node/tests/registry_followers.rs
@@ -36,6 +36,9 @@
 /// are missing, and a read.
 const RENEWAL_MARGIN: Duration = Duration::from_millis(400);
 
+/// Most followers of a node.
+const MAX_FOLLOWERS: usize = 64;
+
 /// Smallest fleet that has followers.
 const FLEET: usize = 9;
 
@@ -421,20 +424,51 @@
     assert_eq!(reply.ages, RelayAges::default());
 }
 
-/// Polls a reader as a follower does that has read up to `after`.
-async fn poll(reader: SocketAddr, after: u64) -> RegistryReply {
+type Polls = Framed<TcpStream, FollowerCodec>;
+
+async fn connect(reader: SocketAddr) -> Polls {
     let stream = TcpStream::connect(reader).await.expect("a reader listens");
-    let mut framed = Framed::new(stream, FollowerCodec::default());
+    Framed::new(stream, FollowerCodec::default())
+}
+
+/// Polls for a reply at once, with everything up to `after` known; `None` if the reader closes the connection.
+async fn next_reply(polls: &mut Polls, after: u64) -> Option<RegistryReply> {
     let wait = Duration::ZERO;
-    framed
-        .send(RegistryPoll { after, wait })
-        .await
-        .expect("connected");
-    framed
-        .next()
-        .await
-        .expect("a reply")
-        .expect("a valid reply")
+    polls.send(RegistryPoll { after, wait }).await.ok()?;
+    polls.next().await?.ok()
+}
+
+/// Polls a reader once.
+async fn poll(reader: SocketAddr, after: u64) -> RegistryReply {
+    let reply = next_reply(&mut connect(reader).await, after).await;
+    reply.expect("a reply")
+}
+
+/// Guards against a reader that holds connections and tasks without bound, and against one that doesn't take followers any
+/// more after others have left.
+#[actix_rt::test]
+async fn followers_of_a_node_are_bounded() {
+    let registry = FakeRegistry::with_instances(3);
+    let listener = TcpListener::bind("127.81.0.181:0").await;
+    let listener = listener.expect("a free port");
+    let address = listener.local_addr().expect("bound");
+    let _reader = Node::start(&registry, listener, None, &BOUNDS);
+    let mut followers = Vec::new();
+    for _ in 0..MAX_FOLLOWERS {
+        followers.push(connect(address).await);
+        assert!(
+            next_reply(followers.last_mut().expect("one"), 0)
+                .await
+                .is_some()
+        );
+    }
+
+    let turned_away = next_reply(&mut connect(address).await, 0).await;
+    followers.clear();
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let taken = next_reply(&mut connect(address).await, 0).await;
+
+    assert!(turned_away.is_none() && taken.is_some());
 }
 
 /// Guards against a follower that misses changes which its reader no longer has the history of.
