--- a/crates/core/src/registry_bounds.rs
+++ b/crates/core/src/registry_bounds.rs
@@ -153,14 +153,25 @@
     /// without followers.
     pub fn allows_following(&self) -> bool {
         let cycle = self.interval + self.read_time + self.relay_time;
-        self.max_view_age >= cycle + self.interval / 2
+        self.shortest_view_age() >= cycle + self.interval / 2
+    }
+
+    /// Age of its view at which a follower reads the store, for its random number from 0 to 1. When all readers fall silent at
+    /// once, the followers must not all call the store at the same moment.
+    pub fn view_age_limit(&self, random: f64) -> Duration {
+        self.max_view_age
+            .saturating_sub(self.relay_time.mul_f64(random))
+    }
+
+    fn shortest_view_age(&self) -> Duration {
+        self.view_age_limit(1.0)
     }
 
     /// Wait of a watch by a node whose view is this old and that has followers: the reply must reach them before their
     /// views are too old. In whole milliseconds, to which registries cut the wait.
     pub fn relaying_wait(&self, view_age: Duration) -> Duration {
         let used = view_age + self.read_time + self.relay_time;
-        let wait = self.max_view_age.saturating_sub(used);
+        let wait = self.shortest_view_age().saturating_sub(used);
         Duration::from_millis(wait.as_millis() as u64).max(PROBE_WAIT)
     }
 }
--- a/crates/core/tests/registry_bounds.rs
+++ b/crates/core/tests/registry_bounds.rs
@@ -108,7 +108,7 @@
     // A wait can't be shorter than that of a short watch.
     let slack = Duration::from_millis(1);
     assert!(
-        reader_cycle + wait <= limits.max_view_age + slack,
+        reader_cycle + wait <= limits.view_age_limit(1.0) + slack,
         "{limits:?}"
     );
 }
--- a/crates/node/src/known_items.rs
+++ b/crates/node/src/known_items.rs
@@ -27,6 +27,8 @@
     value: Bytes,
     /// Revision with which the last change arrived that matters to nodes.
     changed_at: u64,
+    /// Whether the registry no longer has it. Only nodes that can't read the registry still get it.
+    is_deleted: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -37,7 +39,7 @@
 }
 
 /// As of which times the items are confirmed.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) struct KnownView {
     pub(crate) read_at: BootTime,
     pub(crate) configuration_at: Option<BootTime>,
@@ -73,24 +75,32 @@
         self.history_start = self.revision;
     }
 
-    pub(crate) fn set_current(&mut self, current: bool) {
-        self.current = current;
+    /// Records that the last read of the registry failed.
+    pub(crate) fn record_failure(&mut self) {
+        self.current = false;
     }
 
-    /// Records as of which time the items are confirmed; `None` if this node can't vouch for them.
-    pub(crate) fn set_view(&mut self, view: Option<KnownView>) {
+    /// Records as of which time the items are confirmed; `None` if this node can't vouch for them. Returns whether that
+    /// is news to followers.
+    pub(crate) fn confirm(&mut self, view: Option<KnownView>) -> bool {
+        let times =
+            |view: Option<KnownView>| view.map(|view| (view.read_at, view.configuration_at));
+        let is_news = !self.current || times(self.view) != times(view);
+        self.current = true;
         self.view = view;
+        is_news
     }
 
     /// Adds or replaces an item. If what nodes use of it is unchanged, it is not relayed again.
     pub(crate) fn insert(&mut self, item: PublishedItem, is_unchanged: bool) {
         self.removals.remove(&item.key);
         match self.items.get_mut(&item.key) {
-            Some(known) if is_unchanged => known.value = item.value,
+            Some(known) if is_unchanged && !known.is_deleted => known.value = item.value,
             _ => {
                 let known = KnownItem {
                     value: item.value,
                     changed_at: self.revision,
+                    is_deleted: false,
                 };
                 self.items.insert(item.key, known);
             }
@@ -102,6 +112,16 @@
         self.record_removal(key, None);
     }
 
+    /// Notes that the registry no longer has an item that stays in force.
+    pub(crate) fn mark_deleted(&mut self, key: &str) {
+        let kept = self.items.get(key).cloned();
+        self.record_removal(key, None);
+        if let Some(mut kept) = kept {
+            kept.is_deleted = true;
+            self.items.insert(key.into(), kept);
+        }
+    }
+
     /// Removes an item whose new value this node refused.
     pub(crate) fn refuse(&mut self, item: &PublishedItem) {
         self.record_removal(&item.key, Some(item.value.clone()));
@@ -143,10 +163,11 @@
                 ..Snapshot::default()
             };
         }
+        let items = self.items.iter();
         Snapshot {
             revision: self.revision,
             current,
-            items: self.items_after(0),
+            items: items.map(published_item).collect(),
         }
     }
 
@@ -175,12 +196,8 @@
 
     fn items_after(&self, since: u64) -> Vec<PublishedItem> {
         let items = self.items.iter();
-        let changed = items.filter(|(_, item)| since == 0 || item.changed_at > since);
-        let changed = changed.map(|(key, item)| PublishedItem {
-            key: Arc::clone(key),
-            value: item.value.clone(),
-        });
-        changed.collect()
+        let changed = items.filter(|(_, item)| item.changed_at > since && !item.is_deleted);
+        changed.map(published_item).collect()
     }
 
     fn ages(&self, arrived_at: BootTime) -> RelayAges {
@@ -198,3 +215,10 @@
         }
     }
 }
+
+fn published_item((key, item): (&Arc<str>, &KnownItem)) -> PublishedItem {
+    PublishedItem {
+        key: Arc::clone(key),
+        value: item.value.clone(),
+    }
+}
--- a/crates/node/src/registry_contents.rs
+++ b/crates/node/src/registry_contents.rs
@@ -111,10 +111,8 @@
             configuration_at: self.confirmation.confirmed_at(),
             recovery_until: (!recovery_left.is_zero()).then_some(recovery_until),
         });
-        self.items.send_modify(|items| {
-            items.set_current(true);
-            items.set_view(view);
-        });
+        // Two nodes that follow each other must not answer each other for ever.
+        self.items.send_if_modified(|items| items.confirm(view));
     }
 
     /// Reports that the registry held the configuration in force at time `at`, unless it holds one that is not known.
@@ -278,19 +276,18 @@
 
     fn record_revision(&mut self, revision: u64) {
         self.revision = Some(revision);
-        self.items
-            .send_modify(|items| items.record_revision(revision));
+        self.items.send_if_modified(|items| {
+            let is_news = items.revision() != revision;
+            items.record_revision(revision);
+            is_news
+        });
     }
 
     fn apply_removal(&mut self, key: &str, grace_until: Timestamp, rules: GraceRules<'_>) {
-        let removal = self.registry.parse_removal(key);
-        if removal.is_some() {
-            // Entries that are missing are not passed on: a node that takes over the snapshot applies a grace period of its
-            // own.
-            self.items.send_modify(|items| items.remove(key));
-        }
-        match removal {
+        match self.registry.parse_removal(key) {
             Some(Removal::UpstreamRemoved(instance)) => {
+                // A missing entry is not passed on: a node that takes over the snapshot applies a grace period of its own.
+                self.items.send_modify(|items| items.remove(key));
                 let now = rules.now;
                 let is_over = self.entries.handle_removal(now, &instance, grace_until);
                 if is_over {
@@ -298,12 +295,14 @@
                 }
             }
             Some(Removal::ZoneRestored(zone)) => {
+                self.items.send_modify(|items| items.remove(key));
                 let mut zones = self.evacuated_zones.clone();
                 zones.remove(&zone);
                 self.set_evacuated_zones(zones);
             }
             Some(Removal::ConfigurationRemoved) => {
                 warn!(self.log, "configuration_removed");
+                self.items.send_modify(|items| items.mark_deleted(key));
                 self.confirmation.record_none();
             }
             None => {}
--- a/crates/node/src/registry_follower.rs
+++ b/crates/node/src/registry_follower.rs
@@ -57,6 +57,7 @@
         info!(self.log, "registry_following"; "reader" => %reader, "revision" => self.contents.revision);
         let mut polls = ReaderPolls::start(reader, self.contents.confirmation.clock());
         polls.send(self.next_poll(Duration::ZERO));
+        self.view_age_limit = self.limits().view_age_limit(fastrand::f64());
         let fault = loop {
             match self.next_follow_event(&mut polls).await {
                 FollowEvent::Replied(reply) => match self.handle_reply(reader, reply) {
@@ -106,7 +107,7 @@
     fn view_time_left(&self) -> Duration {
         let age = self.contents.view_age();
         age.map_or(Duration::ZERO, |age| {
-            self.limits().max_view_age.saturating_sub(age)
+            self.view_age_limit.saturating_sub(age)
         })
     }
 
--- a/crates/node/src/registry_watcher.rs
+++ b/crates/node/src/registry_watcher.rs
@@ -5,6 +5,7 @@
     configuration_confirmation::ConfigurationConfirmation,
     forward_metrics::ForwardMetrics,
     forward_task::ForwardSender,
+    known_items::KnownItems,
     prelude::*,
     registry::{Registry, RegistryError},
     registry_contents::{GraceRules, RegistryContents},
@@ -38,6 +39,8 @@
     pub(crate) readers: RegistryReaders,
     pub(crate) contact: RegistryContact,
     pub(crate) clock: Clock,
+    /// Age of its view at which this node, while it follows another one, reads the registry itself.
+    pub(crate) view_age_limit: Duration,
     /// When this node last read the registry itself.
     pub(crate) last_own_read: Timestamp,
 }
@@ -67,6 +70,7 @@
             readers: RegistryReaders::new()?,
             contact: RegistryContact::new(Timestamp::ZERO)?,
             clock: Clock::start(),
+            view_age_limit: Duration::ZERO,
             last_own_read: Timestamp::ZERO,
         })
     }
@@ -381,9 +385,7 @@
         // A cut watch alone says nothing about the registry, but other nodes must not trust one that reads nothing.
         let is_away = self.contact.state() == RegistryState::Away;
         if event == RegistryContactEvent::Failed || is_away {
-            self.contents
-                .items
-                .send_modify(|items| items.set_current(false));
+            self.contents.items.send_modify(KnownItems::record_failure);
         }
     }
 
--- a/crates/node/tests/registry_followers.rs
+++ b/crates/node/tests/registry_followers.rs
@@ -11,7 +11,7 @@
     forward_metrics::ForwardMetrics, forward_task::ForwardMessage,
     registry_watcher::RegistryWatcher,
 };
-use medlarpost_wire::snapshot_codec::{FollowerCodec, RelayServerCodec};
+use medlarpost_wire::snapshot_codec::{FollowerCodec, RelayServerCodec, SnapshotClientCodec};
 use slog::{Discard, Logger, o};
 use std::net::SocketAddr;
 use tokio::{
@@ -118,6 +118,7 @@
     follower: TcpListener,
     readers: Vec<TcpListener>,
     fleet: RegistryFleet,
+    nodes: Vec<SocketAddr>,
 }
 
 /// Binds the listeners of a fleet. `network` tells the fleets of tests apart.
@@ -133,7 +134,8 @@
         .collect();
     let (fleet, readers) = nodes
         .iter()
-        .find_map(|own| readers_of(*own, &nodes))
+        .map(|own| view_of(*own, &nodes))
+        .find(|(_, readers)| !readers.is_empty())
         .expect("the fleet has followers");
     let mut take = |address: SocketAddr| {
         let at = listeners
@@ -145,11 +147,12 @@
         follower: take(fleet.sighting.own),
         readers: readers.into_iter().map(&mut take).collect(),
         fleet,
+        nodes,
     }
 }
 
-/// The fleet as node `own` sees it, and the readers that it prefers; `None` if it is a reader itself.
-fn readers_of(own: SocketAddr, nodes: &[SocketAddr]) -> Option<(RegistryFleet, Vec<SocketAddr>)> {
+/// The fleet as node `own` sees it, and the readers that it prefers: none if it is a reader itself.
+fn view_of(own: SocketAddr, nodes: &[SocketAddr]) -> (RegistryFleet, Vec<SocketAddr>) {
     let others = nodes.iter().filter(|node| **node != own);
     let members = others.map(|node| KnownMember {
         address: *node,
@@ -166,7 +169,7 @@
     let mut readers = RegistryReaders::new().expect("the chart is valid");
     readers.update_fleet(Some(&fleet), &BOUNDS.limits());
     let preferred = readers.readers().to_vec();
-    (!preferred.is_empty()).then_some((fleet, preferred))
+    (fleet, preferred)
 }
 
 /// A reader and its follower. The other readers accept connections and say nothing.
@@ -175,6 +178,7 @@
     follower: Node,
     others: Vec<TcpListener>,
     reader_address: SocketAddr,
+    nodes: Vec<SocketAddr>,
 }
 
 async fn start_pair(registry: &FakeRegistry, network: u8, bounds: &RegistryBounds) -> Pair {
@@ -182,10 +186,12 @@
         follower,
         mut readers,
         fleet,
+        nodes,
     } = bind_fleet(network).await;
     let first = readers.remove(0);
     let reader_address = first.local_addr().expect("bound");
-    let reader = Node::start(registry, first, None, bounds);
+    let (view, _) = view_of(reader_address, &nodes);
+    let reader = Node::start(registry, first, Some(view), bounds);
     let mut follower = Node::start(registry, follower, Some(fleet), bounds);
     follower.events_within(Duration::from_millis(1_500)).await;
     Pair {
@@ -193,6 +199,7 @@
         follower,
         others: readers,
         reader_address,
+        nodes,
     }
 }
 
@@ -345,6 +352,7 @@
             follower,
             readers,
             fleet,
+            ..
         } = bind_fleet(network).await;
         for reader in readers {
             start_fake_reader(reader, kind, registry.revision());
@@ -375,6 +383,7 @@
         follower,
         readers,
         fleet,
+        ..
     } = bind_fleet(91).await;
     drop(readers);
     let mut follower = Node::start(&registry, follower, Some(fleet), &BOUNDS);
@@ -471,6 +480,39 @@
     assert!(turned_away.is_none() && taken.is_some());
 }
 
+/// Guards against a follower that confirms a configuration which the registry no longer has, and against a starting node
+/// that doesn't get the configuration in force from others.
+#[actix_rt::test]
+async fn deleted_configuration_is_only_in_snapshots() {
+    let registry = FakeRegistry::with_instances(1);
+    registry.write(CONFIGURATION, b"1");
+    let pair = start_pair(&registry, 201, &BOUNDS).await;
+    let known = registry.revision();
+    registry.remove(CONFIGURATION);
+    tokio::time::sleep(BOUND / 2).await;
+
+    let stream = TcpStream::connect(pair.reader_address).await;
+    let mut snapshots = Framed::new(stream.expect("listening"), SnapshotClientCodec::default());
+    let request = SnapshotRequest { after: 0 };
+    snapshots.send(request).await.expect("connected");
+    let snapshot = snapshots.next().await.expect("a reply").expect("valid");
+    let all = poll(pair.reader_address, 0).await;
+    let changes = poll(pair.reader_address, known).await;
+
+    let has = |snapshot: &Snapshot| {
+        let mut items = snapshot.items.iter();
+        items.any(|item| &*item.key == CONFIGURATION)
+    };
+    assert!(has(&snapshot) && !has(&all.snapshot));
+    let removed: Vec<_> = changes
+        .removals
+        .iter()
+        .map(|removal| &*removal.key)
+        .collect();
+    assert_eq!(removed, [CONFIGURATION]);
+    assert_eq!(all.ages.configuration_ms, None);
+}
+
 /// Guards against a follower that misses changes which its reader no longer has the history of.
 #[actix_rt::test]
 async fn reader_without_the_history_sends_all_items() {
@@ -532,7 +574,8 @@
     let registry = FakeRegistry::with_instances(3);
     let mut pair = start_pair(&registry, 161, &BOUNDS).await;
     for other in pair.others.drain(..) {
-        let node = Node::start(&registry, other, None, &BOUNDS);
+        let (view, _) = view_of(other.local_addr().expect("bound"), &pair.nodes);
+        let node = Node::start(&registry, other, Some(view), &BOUNDS);
         actix_rt::spawn(async move {
             let _kept = node;
             std::future::pending::<()>().await;
@@ -587,3 +630,67 @@
     assert_eq!(removed.iter().filter(is_confirmation).count(), 0);
     assert_eq!(pair.follower.link.call_count(), before);
 }
+
+/// Nodes of the fleet in the test of the whole fleet, of which five read.
+const LARGE_FLEET: usize = 40;
+
+/// Starts a fleet whose nodes know each other. Returns the readers and the followers.
+async fn start_large_fleet(registry: &FakeRegistry) -> (Vec<Node>, Vec<Node>) {
+    let mut listeners = Vec::new();
+    for _ in 0..LARGE_FLEET {
+        let listener = TcpListener::bind("127.81.0.191:0").await;
+        listeners.push(listener.expect("a free port"));
+    }
+    let address = |listener: &TcpListener| listener.local_addr().expect("bound");
+    let nodes: Vec<_> = listeners.iter().map(address).collect();
+    let (mut readers, mut followers) = (Vec::new(), Vec::new());
+    for listener in listeners {
+        let own = address(&listener);
+        let (fleet, preferred) = view_of(own, &nodes);
+        let node = Node::start(registry, listener, Some(fleet), &BOUNDS);
+        if preferred.is_empty() {
+            readers.push(node);
+        } else {
+            followers.push(node);
+        }
+    }
+    tokio::time::sleep(BOUND).await;
+    (readers, followers)
+}
+
+/// Guards against a fleet that calls the registry almost as often as one without followers, and against followers that act
+/// late when all readers are killed at once.
+#[actix_rt::test]
+async fn large_fleet_needs_few_calls_and_survives_the_loss_of_all_readers() {
+    let registry = FakeRegistry::with_instances(20);
+    let (readers, mut followers) = start_large_fleet(&registry).await;
+    let alone = TcpListener::bind("127.81.0.192:0").await;
+    let alone = Node::start(&registry, alone.expect("a free port"), None, &BOUNDS);
+    tokio::time::sleep(BOUND / 2).await;
+    let before = (registry.calls().len(), alone.link.call_count());
+
+    for seq in 2..22 {
+        registry.write("i-1", format!("desk {seq}").as_bytes());
+        tokio::time::sleep(BOUND / 10).await;
+    }
+    let calls_alone = alone.link.call_count() - before.1;
+    let calls = registry.calls().len() - before.0 - calls_alone;
+    for reader in &readers {
+        reader.kill();
+    }
+    registry.remove("i-0");
+    let mut latest = Duration::ZERO;
+    let removed = Instant::now();
+    for follower in &mut followers {
+        follower.deregistered("i-0", BOUND).await;
+        latest = latest.max(removed.elapsed());
+    }
+
+    println!("{calls} calls of {LARGE_FLEET} nodes, {calls_alone} of one alone; {latest:?}");
+    assert_eq!(readers.len(), 5);
+    assert!(
+        calls * 5 <= calls_alone * LARGE_FLEET,
+        "{calls}, {calls_alone}"
+    );
+    assert!(latest + BOUNDS.in_flight() <= BOUND, "{latest:?}");
+}
