Decide about a request without sending it

Operators ask where a request would go now. Forwarder::dry_run handles it with the code that handles requests, on a copy of the state without the requests in flight, so that no budget, quota or random draw is used up, and reports the route, the decision, and what is known about each replica with its source and age. accepts_work and the choice of allowed replicas use the functions that name the obstacle in the report. The charts of the forwarder are shared by reference counts, as the copy needs them.

--- a/crates/core/src/extra_load_budget.rs
+++ b/crates/core/src/extra_load_budget.rs
@@ -8,7 +8,7 @@
 const BUCKETS: u32 = 20;
 
 /// Budget of extra requests to a service within a sliding window: `ratio` times the primary requests plus `slack`.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct ExtraLoadBudget {
     /// Start, primary requests and extra requests of each bucket, oldest first.
     buckets: VecDeque<(Timestamp, u32, u32)>,
--- a/crates/core/src/forward_admission.rs
+++ b/crates/core/src/forward_admission.rs
@@ -334,10 +334,8 @@
         let mut shortest = None;
         for key in &self.services[service].replicas {
             let replica = &self.replicas[*key];
-            let zone = &replica.entry.zone;
             let excluded = replica.state == ReplicaState::Leaving
-                || self.evacuated_zones.contains(zone)
-                || !self.settings.is_allowed(route, zone);
+                || self.zone_obstacle(route, &replica.entry.zone).is_some();
             if excluded {
                 continue;
             }
--- a/crates/core/src/forward_placement.rs
+++ b/crates/core/src/forward_placement.rs
@@ -87,9 +87,7 @@
     /// Whether a replica has not been tried yet for a shard and may be used by the route.
     fn is_allowed(&self, flow: &Flow, shard: usize, key: UpstreamKey) -> bool {
         let zone = &self.replicas[key].entry.zone;
-        !flow.shards[shard].tried.contains(&key)
-            && !self.evacuated_zones.contains(zone)
-            && self.settings.is_allowed(flow.route(), zone)
+        !flow.shards[shard].tried.contains(&key) && self.zone_obstacle(flow.route(), zone).is_none()
     }
 
     /// A replica that accepts work: drawn if any of them reports its load, otherwise the one with the lowest cost.
--- a/crates/core/src/forward_quota.rs
+++ b/crates/core/src/forward_quota.rs
@@ -163,6 +163,17 @@
         }
     }
 
+    /// Sends the requests that wait, as if their quota had been granted. Only for dry runs.
+    pub(crate) fn admit_waiting_unconditionally(
+        &mut self,
+        now: Timestamp,
+        commands: &mut Vec<ForwardCommand>,
+    ) {
+        for waiting in std::mem::take(&mut self.waiting) {
+            self.resume_request(now, &waiting.arrival, waiting.admission, commands);
+        }
+    }
+
     fn ask_for_quota(
         &mut self,
         now: Timestamp,
--- a/crates/core/src/forwarder.rs
+++ b/crates/core/src/forwarder.rs
@@ -132,8 +132,8 @@
     pub(crate) accepting: Vec<UpstreamKey>,
     /// Buffers of the draw among them.
     pub(crate) draw: ReplicaDraw,
-    pub(crate) flow_chart: Chart<FlowMachine>,
-    pub(crate) replica_chart: Chart<ReplicaMachine>,
+    pub(crate) flow_chart: Arc<Chart<FlowMachine>>,
+    pub(crate) replica_chart: Arc<Chart<ReplicaMachine>>,
 }
 
 /// Connections to one upstream that a node uses at a time.
@@ -146,7 +146,7 @@
 }
 
 /// Replicas of one service and the budget of its extra requests.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct ServicePool {
     pub(crate) name: Arc<str>,
     pub(crate) replicas: Vec<UpstreamKey>,
@@ -202,11 +202,46 @@
             random,
             accepting: Vec::new(),
             draw: ReplicaDraw::default(),
-            flow_chart: Chart::load()?,
-            replica_chart: Chart::load()?,
+            flow_chart: Arc::new(Chart::load()?),
+            replica_chart: Arc::new(Chart::load()?),
         })
     }
 
+    /// A copy that decides about a new request as this forwarder would, but has none of its requests in flight: their
+    /// replies may take much memory.
+    pub(crate) fn copy_without_requests(&self) -> Self {
+        Self {
+            settings: self.settings.clone(),
+            table: self.table.clone(),
+            key_lease: self.key_lease,
+            services: self.services.clone(),
+            services_by_name: self.services_by_name.clone(),
+            replicas: self.replicas.clone(),
+            replicas_by_instance: self.replicas_by_instance.clone(),
+            flows: SlotMap::with_key(),
+            callers: HashMap::new(),
+            attempts: SlotMap::with_key(),
+            timers: Timers::default(),
+            evacuated_zones: self.evacuated_zones.clone(),
+            quarantine: self.quarantine.clone(),
+            absent_upstreams: self.absent_upstreams.clone(),
+            fleet_size: self.fleet_size,
+            shutdown: self.shutdown,
+            reply_times: self.reply_times.clone(),
+            longest_wait: self.longest_wait.clone(),
+            split_credit: self.split_credit.clone(),
+            quotas: self.quotas.clone(),
+            served_shares: self.served_shares.clone(),
+            waiting: Vec::new(),
+            waiting_retry_at: self.waiting_retry_at,
+            random: self.random.clone(),
+            accepting: Vec::new(),
+            draw: ReplicaDraw::default(),
+            flow_chart: Arc::clone(&self.flow_chart),
+            replica_chart: Arc::clone(&self.replica_chart),
+        }
+    }
+
     /// Handles an event at time `now` and appends the resulting commands.
     pub fn handle(
         &mut self,
@@ -328,6 +363,11 @@
         self.configure_quotas();
     }
 
+    /// Key of a service that the configuration or the registry has named.
+    pub(crate) fn service_key(&self, name: &Arc<str>) -> Option<ServiceKey> {
+        self.services_by_name.get(name).copied()
+    }
+
     /// Key of a service, which is added without replicas if it is not known yet.
     pub(crate) fn service(&mut self, name: &Arc<str>) -> ServiceKey {
         if let Some(key) = self.services_by_name.get(name) {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -19,6 +19,8 @@
 pub mod config_agreement;
 mod decay;
 pub mod digest;
+mod dry_run;
+pub mod dry_run_report;
 pub mod engine;
 pub mod engine_statistics;
 pub mod engine_status;
--- a/crates/core/src/load_estimate.rs
+++ b/crates/core/src/load_estimate.rs
@@ -98,6 +98,11 @@
 }
 
 impl ExpectedLoad {
+    /// Mean number of requests in service and in the queue.
+    pub(crate) fn requests(&self) -> f64 {
+        self.requests
+    }
+
     /// Expected number of times that all slots are used before a new request gets one.
     pub(crate) fn rounds_ahead(&self) -> f64 {
         self.mean_excess(self.requests + 1.0 - self.slots) / self.slots
--- a/crates/core/src/prelude.rs
+++ b/crates/core/src/prelude.rs
@@ -16,6 +16,10 @@
         ConfigAgreement, ConfigAgreementInput, ConfigAgreementOutput, ConfigAgreementSettings,
     },
     digest::Digest,
+    dry_run_report::{
+        ChoiceBasis, DryRunCaller, DryRunError, DryRunReport, DryRunRoute, DryRunShard,
+        DryRunVerdict, LoadBelief, LoadSource, ReplicaBelief, ReplicaObstacle,
+    },
     engine::{Engine, EngineSettings, PolicyMode},
     engine_statistics::EngineStatistics,
     engine_status::{EngineStatus, RunningStatus, UpstreamStatus, ZoneStatus},
--- a/crates/core/src/quota_fleet.rs
+++ b/crates/core/src/quota_fleet.rs
@@ -29,7 +29,7 @@
 ///
 /// The owner of a workspace is the first of its rendezvous order that was heard of within two silence limits. By then an
 /// earlier one that is cut off has noticed that it hears only a part of the fleet, and grants only the share of that part.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct QuotaFleet {
     own: Option<SocketAddr>,
     /// Start of the process, or the end of the last interruption.
--- a/crates/core/src/quota_owner.rs
+++ b/crates/core/src/quota_owner.rs
@@ -36,7 +36,7 @@
 const NO_SHARE_RETRY: Duration = Duration::from_secs(1);
 
 /// Buckets of the workspaces that this node was asked for.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct QuotaOwner {
     buckets: HashMap<Arc<str>, QuotaBucket>,
     load: AskLoad,
@@ -45,7 +45,7 @@
 }
 
 /// Rate at which other nodes ask.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct AskLoad {
     window_start: Timestamp,
     asks: u32,
--- a/crates/core/src/quota_share.rs
+++ b/crates/core/src/quota_share.rs
@@ -31,7 +31,7 @@
 const MAX_OPEN_ASKS: usize = 4;
 
 /// What this node may admit of one workspace's requests.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct QuotaShare {
     /// Division of the workspace's quota.
     pub(crate) division: QuotaDivision,
--- a/crates/core/src/replica.rs
+++ b/crates/core/src/replica.rs
@@ -61,9 +61,11 @@
 const COLD_WINDOW: Duration = Duration::from_millis(1_200);
 
 /// A registered upstream, or one that finishes its attempts after its entry has gone.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct Replica {
     pub(crate) entry: RegisteredUpstream,
+    /// When `entry` was set.
+    entry_changed_at: Timestamp,
     pub(crate) service: ServiceKey,
     pub(crate) state: ReplicaState,
     /// Whether the registry still has its entry. A replica without one is removed once it is idle.
@@ -104,6 +106,7 @@
         Self {
             cold_until: now + entry.cold_for,
             entry,
+            entry_changed_at: now,
             service,
             state,
             registered: true,
@@ -214,16 +217,76 @@
     /// Whether it can be sent another attempt, given the connections that this node may use and the requests that it
     /// may send in one [`COLD_WINDOW`] while the upstream is cold.
     pub(crate) fn accepts_work(&self, now: Timestamp, connections: u32, cold_sends: u32) -> bool {
-        if self.rest_until > now || self.running.len() >= connections as usize {
-            return false;
+        self.obstacle(now, connections, cold_sends).is_none()
+    }
+
+    /// Why it can't be sent another attempt, as [`Self::accepts_work`] judges it; `None` if it can. A replica whose
+    /// warm-up time has passed counts as warm.
+    pub(crate) fn obstacle(
+        &self,
+        now: Timestamp,
+        connections: u32,
+        cold_sends: u32,
+    ) -> Option<ReplicaObstacle> {
+        if let Some(left) = self.rest_left(now) {
+            return Some(ReplicaObstacle::Resting { left });
+        }
+        if self.running.len() >= connections as usize {
+            return Some(ReplicaObstacle::ConnectionsInUse { limit: connections });
         }
         match self.state {
-            ReplicaState::Warm => true,
+            ReplicaState::Warm => None,
+            ReplicaState::Cold if self.is_warmed(now) => None,
             ReplicaState::Cold => {
                 let recent = |at: &&Timestamp| now.since(**at) < COLD_WINDOW;
-                self.recent_sends.iter().filter(recent).count() < cold_sends as usize
+                let is_full =
+                    self.recent_sends.iter().filter(recent).count() >= cold_sends as usize;
+                is_full.then(|| ReplicaObstacle::ColdRate {
+                    limit: cold_sends,
+                    left: self.cold_until.since(now),
+                })
             }
-            ReplicaState::Suspect | ReplicaState::Trial | ReplicaState::Leaving => false,
+            ReplicaState::Suspect => Some(ReplicaObstacle::Suspect {
+                trial_in: self.trial_at.since(now),
+            }),
+            ReplicaState::Trial => Some(ReplicaObstacle::TrialInFlight),
+            ReplicaState::Leaving => Some(ReplicaObstacle::Leaving),
+        }
+    }
+
+    /// What is known about it, for operators. The obstacle is left out, because it depends on the request.
+    pub(crate) fn belief(
+        &self,
+        now: Timestamp,
+        upstream: UpstreamKey,
+        times: Option<&ReplyTimes>,
+    ) -> ReplicaBelief {
+        let load = self.load.latest().map(|(at, load)| LoadBelief {
+            source: LoadSource::OwnReply,
+            age: now.since(at),
+            load,
+        });
+        let has_replied = self.last_reply_at > Timestamp::ZERO;
+        ReplicaBelief {
+            upstream,
+            instance: Arc::clone(&self.entry.instance),
+            zone: Arc::clone(&self.entry.zone),
+            slots: self.entry.slots,
+            state: if self.is_warmed(now) {
+                ReplicaState::Warm
+            } else {
+                self.state
+            },
+            obstacle: None,
+            entry_age: now.since(self.entry_changed_at),
+            reply_age: has_replied.then(|| now.since(self.last_reply_at)),
+            load,
+            expected_requests: self.expected_load(now).requests(),
+            running: self.running.len(),
+            expected_reply: times.map(|times| self.expected_reply(now, times)),
+            slowness: self.slowness(now),
+            failure_rate: self.failure_rate(now),
+            advised_against_for: (self.avoid_until > now).then(|| self.avoid_until.since(now)),
         }
     }
 
@@ -460,6 +523,7 @@
             (self.rest_until, self.avoid_until) = (Timestamp::ZERO, Timestamp::ZERO);
         }
         self.entry = entry;
+        self.entry_changed_at = now;
         if leaving {
             // From here on the registry is at least as recent as the upstream's own word.
             self.announced_leaving = false;
--- a/crates/core/src/request_quarantine.rs
+++ b/crates/core/src/request_quarantine.rs
@@ -20,14 +20,14 @@
 const MAX_SUSPECTS: usize = 1_024;
 
 /// Suspect requests by digest. Empty as long as nothing crashes, so that no digests are computed in normal operation.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct RequestQuarantine {
     /// Connections lost while a request ran, with no known cause yet.
     unconfirmed_losses: VecDeque<ConnectionLoss>,
     suspects: HashMap<Digest, SuspectRequest>,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct ConnectionLoss {
     digest: Digest,
     upstream: UpstreamKey,
@@ -35,7 +35,7 @@
     lost_at: Timestamp,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct SuspectRequest {
     /// Upstreams that crashed one after the other. Crashes at the same time count as one, because the failure of a zone
     /// or a switch takes down many upstreams at once.
--- a/crates/core/src/served_shares.rs
+++ b/crates/core/src/served_shares.rs
@@ -13,7 +13,7 @@
 const MIN_DEMAND: f64 = 0.01;
 
 /// Requests of each workspace that arrived, and those that were not refused for overload, with old ones fading.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct ServedShares {
     workspaces: HashMap<Arc<str>, Service>,
     all: Service,
--- a/crates/core/src/upstream_notice.rs
+++ b/crates/core/src/upstream_notice.rs
@@ -57,7 +57,7 @@
 }
 
 /// What is known of upstreams without an entry in the registry, for the case that their entry appears or returns.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct AbsentUpstreams {
     notices: HashMap<Arc<str>, AbsentNotice>,
 }
--- a/crates/core/src/workspace_quotas.rs
+++ b/crates/core/src/workspace_quotas.rs
@@ -27,7 +27,7 @@
 /// Each workspace has an owner among the nodes, which runs its token bucket and issues grants that end by themselves.
 /// Nodes ask ahead for what they expect. Besides, each node may admit a few requests in a window without a grant; these
 /// allowances add up to a part of the tolerance that the limits give.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct WorkspaceQuotas {
     limits: QuotaLimits,
     fleet: QuotaFleet,
--- a/crates/core/tests/forwarding/quotas.rs
+++ b/crates/core/tests/forwarding/quotas.rs
@@ -316,3 +316,30 @@
         [(answered, ForwardAnswer::Refused(ForwardRefusal::Unavailable { .. }))] if answered == caller
     ));
 }
+
+/// Guards against a dry run that spends the quota, or that sends for a workspace which would be refused.
+#[test]
+fn dry_runs_spend_no_quota_and_tell_of_its_owner() {
+    let mut harness = limited_harness();
+    let try_request = |harness: &Harness| {
+        let caller = DryRunCaller::Workspace("w".to_owned());
+        let (now, arrived_at) = (harness.now, harness.boot_time);
+        let report = harness
+            .forwarder
+            .dry_run(now, arrived_at, request("/desk/x"), &caller);
+        report.expect("the route and the workspace exist")
+    };
+    let unknown_fleet = try_request(&harness);
+    sight(&mut harness, &[peer()]);
+    let before = format!("{:?}", harness.forwarder);
+
+    let reports: Vec<_> = (0..20).map(|_| try_request(&harness)).collect();
+
+    assert_eq!(unknown_fleet.verdict, DryRunVerdict::AskQuotaOwner);
+    for report in &reports {
+        assert_eq!(report.verdict, DryRunVerdict::AskQuotaOwner);
+        assert_eq!(report.shards[0].chosen.len(), 1, "once it is granted");
+        assert!(report.quota.is_some_and(|quota| !quota.is_owner));
+    }
+    assert_eq!(before, format!("{:?}", harness.forwarder));
+}
