Add medlarctl where

A forwarding node with an administrators' token (MEDLARPOST_ADMIN_TOKEN) answers POST /v1/where on its metrics port from a dry run; without the variable the page does not exist, as before. The status and Retry-After of a refusal come from the dialect that encodes answers. The check of the token moves out of the admin API to be used by both, and the client of medlarctl status is shared with where.

--- a/crates/medlarctl/src/flags.rs
+++ b/crates/medlarctl/src/flags.rs
@@ -12,6 +12,7 @@
     ///   medlarctl bundle build examples/tunelix.toml --out bundle
     ///   medlarctl bundle sign bundle --key first.key
     ///   medlarctl explain 9c41d07be2a35f68 node-1.log node-2.log
+    ///   medlarctl where --address 10.0.0.5:9464 --token-file admin.token --host shop.example --path /search/x
     ///   medlarctl status --address 127.0.0.1:8081 --token-file admin.token
     ///
     /// Exit codes: 0 for success, 1 for an error, 2 for a command line that can't be used.
@@ -152,6 +153,30 @@
             /// Print the JSON as the node sent it
             optional --json
         }
+        /// Print what a node would do with a request now: the route, what the node knows about each replica and how old
+        /// that is, and the choice or the refusal. Nothing is sent, and the node's state does not change.
+        cmd where {
+            /// Address of the node's metrics page, IP:PORT. It answers if MEDLARPOST_ADMIN_TOKEN is set for the node
+            required --address address: String
+            /// Host that the request names
+            required --host host: String
+            /// Path and query string
+            required --path path: String
+            /// HTTP method (default GET)
+            optional --method method: String
+            /// Workspace of the caller
+            optional --workspace name: String
+            /// File with the caller's key instead; only its SHA-256 digest is sent
+            optional --key-file file: PathBuf
+            /// Time that the caller waits, in milliseconds (default: the route's time-out)
+            optional --deadline-ms ms: u64
+            /// File with the administrators' token; the variable MEDLARCTL_ADMIN_TOKEN works too
+            optional --token-file file: PathBuf
+            /// File with the PEM root certificates of the node's listener; without it, plain HTTP
+            optional --roots file: PathBuf
+            /// Print the JSON as the node sent it
+            optional --json
+        }
         /// Send searches and bookings to a running fleet at fixed intended times and report on the answers.
         cmd load {
             /// Callers' listener of a node, IP:PORT; may be given several times
--- a/crates/medlarctl/src/lib.rs
+++ b/crates/medlarctl/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod soak_keys;
 pub mod soak_observation;
 
+mod admin_client;
 mod balancer;
 mod booking_load;
 mod bounded_file;
@@ -58,6 +59,7 @@
 pub mod soak_schedule;
 mod status_command;
 mod test_bed;
+pub mod where_command;
 
 pub use {
     demo::{DemoOptions, run_demo},
--- a/crates/medlarctl/src/run.rs
+++ b/crates/medlarctl/src/run.rs
@@ -7,7 +7,7 @@
     flags::{MeasureControl, Medlarctl, MedlarctlCmd},
     keys_command, load_command,
     measure_control::{self, ControlOptions},
-    soak_command, status_command,
+    soak_command, status_command, where_command,
 };
 use std::{process::ExitCode, time::Duration};
 
@@ -31,6 +31,7 @@
         MedlarctlCmd::Keys(keys) => keys_command::run(&keys),
         MedlarctlCmd::Load(load) => load_command::run(&load),
         MedlarctlCmd::Status(status) => status_command::run(&status),
+        MedlarctlCmd::Where(flags) => where_command::run(&flags),
         MedlarctlCmd::Bundle(bundle) => bundle_command::run(&bundle),
     };
     match result {
--- a/crates/medlarctl/src/status_command.rs
+++ b/crates/medlarctl/src/status_command.rs
@@ -1,90 +1,31 @@
 //! `medlarctl status`: reads the status of a node and prints it.
 
-use crate::{
-    ctl_error::{CtlError, NodeResponseSnafu},
-    flags::Status,
-    http_client::HttpClient,
-    secret,
-};
+use crate::{admin_client::AdminClient, ctl_error::CtlError, flags::Status};
 use medlarpost_node::{
     prelude::*,
     status_json::{ControlStatus, EngineReport, StatusReply},
 };
-use std::path::Path;
-
-/// Environment variable with the administrators' token, for use without `--token-file`.
-const TOKEN_VARIABLE: &str = "MEDLARCTL_ADMIN_TOKEN";
-
-/// Time-out of the status request.
-const STATUS_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Longest status that is read; a status with 10,000 upstreams has 2 MB.
 const MAX_STATUS_BYTES: usize = 8 * 1024 * 1024;
 
 /// Requests the status of a node and prints it, as text or as the JSON that the node sent.
 pub(crate) fn run(flags: &Status) -> Result<(), CtlError> {
-    let address = flags
-        .address
-        .parse()
-        .ok()
-        .context(crate::ctl_error::InvalidValueSnafu {
-            name: "--address",
-            detail: "use IP:PORT of the administrators' listener",
-        })?;
-    let token = match &flags.token_file {
-        Some(path) => secret::read_text(path)?,
-        None => std::env::var(TOKEN_VARIABLE).unwrap_or_default(),
-    };
-    let body = actix_rt::System::new().block_on(request_status(
-        address,
-        &token,
+    let client = AdminClient::new(
+        &flags.address,
+        flags.token_file.as_deref(),
         flags.roots.as_deref(),
-    ))?;
+    )?;
+    let body = client.get("/v1/status", MAX_STATUS_BYTES)?;
     if flags.json {
         outln!("{}", String::from_utf8_lossy(&body));
         return Ok(());
     }
-    let status: StatusReply = serde_json::from_slice(&body).map_err(|error| {
-        let detail = format!(
-            "the status has an unknown form ({error}); use the medlarctl of the node's release"
-        );
-        CtlError::NodeResponse { address, detail }
-    })?;
+    let status: StatusReply = client.parse(&body)?;
     out!("{}", render(&status));
     Ok(())
 }
 
-async fn request_status(
-    address: SocketAddr,
-    token: &str,
-    roots: Option<&Path>,
-) -> Result<Bytes, CtlError> {
-    let to_error = |detail: String| CtlError::NodeResponse { address, detail };
-    let HttpClient { client, scheme } = HttpClient::new(roots, STATUS_TIMEOUT)?;
-    let request = client
-        .get(format!("{scheme}://{address}/v1/status"))
-        .insert_header(("authorization", format!("Bearer {token}")));
-    let mut response = request.send().await.map_err(|error| {
-        to_error(format!(
-            "{error}; check --address, that the node runs, and --roots for TLS"
-        ))
-    })?;
-    let status = response.status();
-    if status.as_u16() == 401 {
-        let detail =
-            format!("the node refused the token; pass --token-file or set {TOKEN_VARIABLE}");
-        return NodeResponseSnafu { address, detail }.fail();
-    }
-    if !status.is_success() {
-        return Err(to_error(format!("HTTP status {status}; try again")));
-    }
-    response
-        .body()
-        .limit(MAX_STATUS_BYTES)
-        .await
-        .map_err(|error| to_error(format!("{error}; try again")))
-}
-
 /// Formats the status as text, one fact a line.
 fn render(status: &StatusReply) -> String {
     let StatusReply {
--- a/crates/medlarpost/src/settings_reader.rs
+++ b/crates/medlarpost/src/settings_reader.rs
@@ -3,6 +3,7 @@
 use crate::{flags::Medlarpost, setting_error::SettingError};
 use medlarpost_core::prelude::*;
 use medlarpost_node::{
+    admin_token::MIN_ADMIN_TOKEN_BYTES,
     prelude::Settings,
     tls::{self, TlsConfigs, TlsError},
 };
@@ -10,9 +11,6 @@
 use slog::Level;
 use std::{net::SocketAddr, ops::RangeInclusive, str::FromStr};
 
-/// Length of the shortest administrators' token that is accepted.
-const MIN_ADMIN_TOKEN_BYTES: usize = 16;
-
 /// Longest name of a node or zone, in bytes; the same limit as in a bundle.
 const MAX_NAME_BYTES: usize = 64;
 
--- a/crates/node/src/admin_api.rs
+++ b/crates/node/src/admin_api.rs
@@ -1,8 +1,12 @@
 //! HTTP interface for administrators: health, readiness, metrics and status. It is read-only.
 
-use crate::{control_parts::ControlCommand, prelude::*, status_json::StatusReply};
+use crate::{
+    admin_token::{self, AdminToken},
+    control_parts::ControlCommand,
+    prelude::*,
+    status_json::StatusReply,
+};
 use actix_http::{Method, StatusCode};
-use serde_json::json;
 
 /// Time limit for the status reports of the engine and the control task.
 const STATUS_TIMEOUT: Duration = Duration::from_secs(2);
@@ -12,8 +16,8 @@
 pub(crate) struct AdminApi {
     pub(crate) node: Arc<str>,
     pub(crate) zone: Arc<str>,
-    /// Digest of the administrators' token; without one, every status request is refused.
-    pub(crate) token: Option<Digest>,
+    /// Without a token, every status request is refused.
+    pub(crate) token: AdminToken,
     pub(crate) engine: EngineSender,
     pub(crate) control: mpsc::Sender<ControlCommand>,
     pub(crate) metrics: Metrics,
@@ -31,23 +35,14 @@
                 HttpReply::text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n")
             }
             (&Method::GET, "/metrics") => self.metrics_reply().await,
-            (&Method::GET, "/v1/status") if self.is_administrator(&req) => {
-                self.status_reply().await
-            }
-            (&Method::GET, "/v1/status") => unauthorized(),
+            (&Method::GET, "/v1/status") if self.token.accepts(&req) => self.status_reply().await,
+            (&Method::GET, "/v1/status") => admin_token::unauthorized(),
             _ => HttpReply::text(StatusCode::NOT_FOUND, "no such path\n"),
         }
     }
 }
 
 impl AdminApi {
-    /// Checks the bearer token. Comparing digests makes the time independent of the token's length and content.
-    fn is_administrator(&self, req: &HttpRequest) -> bool {
-        let given = Digest::of(req.bearer_token().as_bytes());
-        self.token
-            .is_some_and(|token| token.is_equal_in_constant_time(&given))
-    }
-
     /// Renders the metrics. Those read from the status keep their last value if it is not reported in time.
     async fn metrics_reply(&self) -> HttpReply {
         if let Ok(Some(status)) = actix_rt::time::timeout(STATUS_TIMEOUT, self.read_status()).await
@@ -86,16 +81,3 @@
         })
     }
 }
-
-fn unauthorized() -> HttpReply {
-    let body = json!({
-        "type": "urn:medlarpost:refusal:unauthenticated",
-        "title": "unauthenticated",
-        "status": 401,
-        "detail": "the bearer token is missing or is not the administrators' token",
-        "remedy": "send the value of --admin-token as a bearer token in the Authorization header",
-    });
-    let mut reply = HttpReply::json(StatusCode::UNAUTHORIZED, &body);
-    reply.content_type = "application/problem+json";
-    reply.header("www-authenticate", "Bearer")
-}
--- a/crates/node/src/forward_node.rs
+++ b/crates/node/src/forward_node.rs
@@ -1,6 +1,7 @@
 //! A node that forwards requests: binds its listeners, starts its tasks and drains them.
 
 use crate::{
+    admin_token::{self, AdminToken},
     caller_connection::{self, CallerParts},
     dialect::Dialect,
     forward_metrics::ForwardMetrics,
@@ -11,10 +12,14 @@
     registry::Registry,
     registry_watcher::RegistryWatcher,
     reply_memory::ReplyMemory,
+    where_json::{WhereRequest, WhereResult},
 };
 use actix_http::{Method, ServiceConfig, StatusCode};
 use prometheus::TextEncoder;
-use tokio::{net::TcpSocket, time::Instant};
+use tokio::{
+    net::TcpSocket,
+    time::{Instant, timeout},
+};
 
 pub use crate::caller_connection::ListenerPhase;
 
@@ -24,6 +29,9 @@
 /// Backlog of the listener for registry snapshots, which only other nodes use.
 const NODE_BACKLOG: u32 = 64;
 
+/// Time limit for the answer of the forward task to `/v1/where`.
+const WHERE_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Pause after a failed accept, which mostly means that file descriptors have run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
@@ -43,6 +51,8 @@
     pub membership: MembershipSettings,
     /// Zone of this node, and the limits of the forwarder.
     pub forwarder: ForwarderSettings,
+    /// Token for the page that tries requests. Without one, the page does not exist.
+    pub admin_token: AdminToken,
     /// Limits of the stages in which the registry is read.
     pub registry: RegistryLimits,
     /// Memory that the replies of upstreams may hold together while they are read, in bytes.
@@ -197,6 +207,8 @@
         spawn_server(bound.readiness, readiness, &server_phase_rx, &workers, &log);
         let metrics = MetricsHandler {
             registry: metrics_registry,
+            admin_token: settings.admin_token,
+            forward: forward.clone(),
         };
         spawn_server(bound.metrics, metrics, &server_phase_rx, &workers, &log);
         let (open_connections_tx, open_connections) = mpsc::channel(1);
@@ -448,14 +460,19 @@
     }
 }
 
-/// Serves the metrics as Prometheus text.
+/// Serves the metrics as Prometheus text, and `/v1/where` if there is a token.
 #[derive(Clone, Debug)]
 struct MetricsHandler {
     registry: prometheus::Registry,
+    admin_token: AdminToken,
+    forward: ForwardSender,
 }
 
 impl Handler for MetricsHandler {
     async fn respond(&self, req: HttpRequest) -> HttpReply {
+        if req.path == "/v1/where" && self.admin_token.is_set() {
+            return self.where_reply(&req).await;
+        }
         if req.method != Method::GET || req.path != "/metrics" {
             return HttpReply::text(StatusCode::NOT_FOUND, "metrics are at /metrics");
         }
@@ -465,3 +482,38 @@
         }
     }
 }
+
+impl MetricsHandler {
+    /// Answers what the node would do with the request in the body.
+    async fn where_reply(&self, req: &HttpRequest) -> HttpReply {
+        if !self.admin_token.accepts(req) {
+            return admin_token::unauthorized();
+        }
+        if req.method != Method::POST {
+            return HttpReply::text(StatusCode::METHOD_NOT_ALLOWED, "use POST\n");
+        }
+        let body = req.body.as_deref().unwrap_or_default();
+        let request = match serde_json::from_slice(body) {
+            Ok(request) => request,
+            Err(error) => return HttpReply::text(StatusCode::BAD_REQUEST, format!("{error}\n")),
+        };
+        match timeout(WHERE_TIMEOUT, self.dry_run(request)).await {
+            Ok(Some(Ok(reply))) => HttpReply::json(StatusCode::OK, &reply),
+            Ok(Some(Err(error))) => {
+                HttpReply::text(StatusCode::UNPROCESSABLE_ENTITY, format!("{error}\n"))
+            }
+            Ok(None) | Err(_) => HttpReply::text(
+                StatusCode::SERVICE_UNAVAILABLE,
+                "the node is too busy or is stopping; retry later\n",
+            ),
+        }
+    }
+
+    async fn dry_run(&self, request: WhereRequest) -> Option<WhereResult> {
+        let (tx, rx) = oneshot::channel();
+        self.forward
+            .send(ForwardMessage::DryRun(request, tx))
+            .ok()?;
+        rx.await.ok()
+    }
+}
--- a/crates/node/src/forward_task.rs
+++ b/crates/node/src/forward_task.rs
@@ -11,8 +11,9 @@
     reply_memory::{ReplyMemory, ReplySize},
     suspension_detector::SuspensionDetector,
     upstream_connection::{ConnectionParts, ConnectionReport, ForwardJob, UpstreamConnectionKey},
+    where_json::{WhereReply, WhereRequest, WhereResult},
 };
-use actix_http::ServiceConfig;
+use actix_http::{ServiceConfig, header::RETRY_AFTER};
 use slotmap::{Key as _, SecondaryMap};
 
 /// Input of the forward task.
@@ -37,6 +38,8 @@
         /// Size of the reply so far.
         size: ReplySize,
     },
+    /// Request for a dry run, which changes nothing.
+    DryRun(WhereRequest, oneshot::Sender<WhereResult>),
     /// Request for the state of the task.
     Status(oneshot::Sender<ForwardStatus>),
 }
@@ -179,6 +182,10 @@
             }
             ForwardMessage::Connection(report) => self.handle_report(report),
             ForwardMessage::ReplyGrew { attempt, size } => self.handle_growth(attempt, size),
+            ForwardMessage::DryRun(request, reply) => {
+                // The requester may no longer wait.
+                let _gone = reply.send(self.dry_run(request));
+            }
             ForwardMessage::Status(reply) => {
                 // The requester may no longer wait.
                 let _gone = reply.send(self.status());
@@ -313,6 +320,20 @@
         let _ended = self.parts.announcements.send(announcement);
     }
 
+    fn dry_run(&self, request: WhereRequest) -> WhereResult {
+        let (request, caller) = request.into_dry_run()?;
+        let (now, arrived_at) = (self.parts.clock.now(), BootClock::System.now());
+        let forwarder = &self.parts.forwarder;
+        let report = forwarder.dry_run(now, arrived_at, request, &caller)?;
+        Ok(WhereReply::new(report, |refusal| {
+            let answer = ForwardAnswer::Refused(refusal);
+            let answer = self.parts.dialect.encode_answer(answer);
+            let retry_after = answer.headers.get(RETRY_AFTER);
+            let retry_after = retry_after.and_then(|value| value.to_str().ok());
+            (answer.status.as_u16(), retry_after.map(str::to_owned))
+        }))
+    }
+
     fn status(&self) -> ForwardStatus {
         let forwarder = &self.parts.forwarder;
         ForwardStatus {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,5 +1,6 @@
 //! The medlarpost node: asynchronous tasks that own sockets and state and carry out the decisions of `medlarpost-core`.
 
+pub mod admin_token;
 pub mod boot_clock;
 pub mod caller_api;
 pub mod caller_json;
@@ -37,6 +38,7 @@
 pub mod status_json;
 pub mod tls;
 pub mod upstream_task;
+pub mod where_json;
 pub mod workers;
 pub mod workspace_labels;
 
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     admin_api::AdminApi,
+    admin_token::AdminToken,
     caller_api::CallerApi,
     control_parts::{ControlCommand, ControlInputs, ControlParts},
     control_task,
@@ -169,10 +170,7 @@
         let admin_api = AdminApi {
             node: settings.name.clone().into(),
             zone: settings.zone.clone().into(),
-            token: settings
-                .admin_token
-                .as_ref()
-                .map(|token| Digest::of(token.as_bytes())),
+            token: AdminToken::for_token(settings.admin_token.as_deref()),
             engine,
             control: control.commands.clone(),
             metrics: metrics.clone(),
--- a/crates/node/tests/failed_task.rs
+++ b/crates/node/tests/failed_task.rs
@@ -2,6 +2,7 @@
 
 use actix_http::{RequestHead, ResponseHead, StatusCode};
 use medlarpost_node::{
+    admin_token::AdminToken,
     dialect::{Dialect, HttpAnswer, RequestError},
     forward_node::{ForwardNode, ForwardNodeSettings},
     prelude::*,
@@ -103,6 +104,7 @@
             revoke_within: None,
             seed: 1,
         },
+        admin_token: AdminToken::default(),
         registry: RegistryBounds {
             contact: Duration::from_secs(2),
             drain: Duration::from_secs(2),
--- a/crates/node/tests/interfaces/status.rs
+++ b/crates/node/tests/interfaces/status.rs
@@ -2,7 +2,14 @@
 
 use crate::common::{ADMIN_TOKEN, TestNodeBuilder, schema, search_body};
 use medlarpost_fakes::prelude::*;
-use medlarpost_node::{recent_refusals::RecentRefusals, status_json::StatusReply};
+use medlarpost_node::{
+    recent_refusals::RecentRefusals,
+    status_json::StatusReply,
+    where_json::{
+        WhereLoad, WhereQuota, WhereReplica, WhereReply, WhereRequest, WhereRoute, WhereShard,
+        WhereVerdict,
+    },
+};
 use serde_json::{Value, json};
 
 #[actix_rt::test]
@@ -133,6 +140,82 @@
     assert_eq!(violations, [""; 0]);
 }
 
+/// Guards against a form of `/v1/where` that differs from the document. A node with upstreams answers it in the platform's
+/// tests.
+#[test]
+fn where_replies_match_the_openapi_document() {
+    let document = schema::openapi_document();
+    let request = WhereRequest {
+        workspace: Some("acme".to_owned()),
+        ..WhereRequest::default()
+    };
+    let reply = where_reply();
+
+    let request = schema::violations(&document, "WhereRequest", &json!(request));
+    let reply = schema::violations(&document, "WhereReply", &json!(reply));
+
+    assert_eq!((request, reply), (Vec::new(), Vec::new()));
+}
+
+/// A refusal with one replica of which everything is known.
+fn where_reply() -> WhereReply {
+    let load = WhereLoad {
+        source: LoadSource::OwnReply.name().to_owned(),
+        age_ms: 1.0,
+        running: 1,
+        waiting: 0,
+        slots: 3,
+        service_percent: Some(100),
+    };
+    let replica = WhereReplica {
+        instance: "i-1".to_owned(),
+        zone: "z-a".to_owned(),
+        slots: 3,
+        state: ReplicaState::Leaving.name().to_owned(),
+        obstacle: Some("leaving".to_owned()),
+        entry_age_ms: 1.0,
+        reply_age_ms: Some(1.0),
+        load: Some(load),
+        expected_requests: 1.0,
+        running: 1,
+        expected_reply_ms: Some(1.0),
+        slowness: 1.0,
+        failure_rate: 0.0,
+        advised_against_ms: Some(1.0),
+    };
+    WhereReply {
+        config_version: 1,
+        config_age_ms: Some(1.0),
+        fleet_size: 1,
+        route: WhereRoute {
+            name: "r".to_owned(),
+            prefix: "/".to_owned(),
+            idempotent: true,
+            objective_ms: 1.0,
+            min_coverage: 1.0,
+            usual_reply_ms: Some(1.0),
+        },
+        caller: Some("anonymous".to_owned()),
+        quota: Some(WhereQuota {
+            is_owner: false,
+            local_allowance: 0,
+            reply_age_ms: Some(1.0),
+        }),
+        verdict: WhereVerdict::Refuse {
+            status: 503,
+            retry_after: Some("1.000".to_owned()),
+            kind: "unavailable".to_owned(),
+            reasons: vec!["service s: no_upstream".to_owned()],
+        },
+        shards: vec![WhereShard {
+            service: "s".to_owned(),
+            chosen: Vec::new(),
+            basis: ChoiceBasis::None.name().to_owned(),
+            replicas: vec![replica],
+        }],
+    }
+}
+
 #[test]
 fn openapi_document_lists_every_refusal_kind_and_missing_shard_reason() {
     let document = schema::openapi_document();
