Share observations of slow and silent upstreams between nodes

In a large fleet a node sends an upstream hardly one request a second, so each node found out by itself that one was slow or silent.

Nodes now send what they have observed to four random members: at once, at most every 50 ms and within 2,600 bytes a second. What nobody has said before is passed on once. Observations of other nodes add to the expected time of a replica in the draw, bounded for each observer and halved every 500 ms; a later reply of the node itself takes precedence. Fleets of fewer than ten nodes and upstreams without load reports are served as before.

--- a/crates/core/src/forward_command.rs
+++ b/crates/core/src/forward_command.rs
@@ -61,6 +61,8 @@
     AnnounceNotice(UpstreamNotice),
     /// Send a message about quotas to another node. It may be lost.
     SendQuotaMessage(OutgoingQuotaMessage),
+    /// Send observations of upstreams to other nodes. They may be lost.
+    SendObservations(OutgoingObservations),
     /// Log and count this decision.
     Record(ForwardTelemetry),
 }
@@ -233,6 +235,17 @@
         /// Whether another node passed it on.
         from_peer: bool,
     },
+    /// Another node's observation of an upstream counts from now on.
+    LoadObserved {
+        /// Instance of the upstream.
+        instance: Arc<str>,
+        /// Node that observed it.
+        observer: SocketAddr,
+        /// Time since the observation.
+        age: Duration,
+        /// What was observed.
+        load: ObservedLoad,
+    },
     /// A newer configuration was applied.
     ConfigurationApplied {
         /// Version of the configuration.
--- a/crates/core/src/forward_event.rs
+++ b/crates/core/src/forward_event.rs
@@ -49,6 +49,13 @@
     },
     /// Another node reports what an upstream told it.
     UpstreamNoticed(UpstreamNotice),
+    /// Another node sent observations of upstreams.
+    ObservationsReceived {
+        /// Address of the sender.
+        from: SocketAddr,
+        /// Its own observations and those that it passes on.
+        observations: Vec<LoadObservation>,
+    },
     /// A request arrived from a caller.
     RequestArrived {
         /// Key for the answer.
--- a/crates/core/src/forward_replies.rs
+++ b/crates/core/src/forward_replies.rs
@@ -28,6 +28,7 @@
         if let Some(replica) = self.replicas.get_mut(attempt.upstream) {
             let event = replica.record_attempt_end(now, &end, attempt.usual_secs);
             let service = replica.service;
+            self.observe_attempt_end(now, &attempt, &end);
             let warm_up = self.service_settings(service).warm_up;
             if let Some(event) = event {
                 let change = self.replicas[attempt.upstream].apply_event(
--- a/crates/core/src/forward_timers.rs
+++ b/crates/core/src/forward_timers.rs
@@ -11,6 +11,7 @@
     /// Handles the flows whose timers have expired.
     pub(crate) fn handle_wakeup(&mut self, now: Timestamp, commands: &mut Vec<ForwardCommand>) {
         self.retry_waiting(now, commands);
+        self.share_peer_load(now, commands);
         while let Some(key) = self.timers.pop_due(now) {
             let Some(flow) = self.flows.get_mut(key) else {
                 continue;
--- a/crates/core/src/forwarder.rs
+++ b/crates/core/src/forwarder.rs
@@ -6,6 +6,7 @@
     forward_chart::{FlowEvent, FlowMachine},
     forward_flow::Flow,
     forward_quota::WaitingRequest,
+    peer_load_sender::PeerLoadSender,
     prelude::*,
     replica::Replica,
     replica_draw::ReplicaDraw,
@@ -110,6 +111,8 @@
     pub(crate) evacuated_zones: BTreeSet<Arc<str>>,
     pub(crate) quarantine: RequestQuarantine,
     absent_upstreams: AbsentUpstreams,
+    /// Observations of upstreams for other nodes.
+    pub(crate) peer_load: PeerLoadSender,
     pub(crate) fleet_size: u32,
     /// Set once the node shuts down.
     pub(crate) shutdown: Option<ShutdownSchedule>,
@@ -173,6 +176,7 @@
     /// If an embedded state chart is invalid.
     pub fn new(settings: ForwarderSettings) -> Result<Self, ChartError> {
         let random = fastrand::Rng::with_seed(settings.seed);
+        let peer_load = PeerLoadSender::new(settings.seed);
         let quotas = settings.limits.quotas;
         let quotas = quotas.map(|limits| WorkspaceQuotas::new(Timestamp::ZERO, limits));
         Ok(Self {
@@ -191,6 +195,7 @@
             evacuated_zones: BTreeSet::new(),
             quarantine: RequestQuarantine::default(),
             absent_upstreams: AbsentUpstreams::default(),
+            peer_load,
             shutdown: None,
             reply_times: HashMap::new(),
             longest_wait: HashMap::new(),
@@ -234,6 +239,7 @@
             served_shares: self.served_shares.clone(),
             waiting: Vec::new(),
             waiting_retry_at: self.waiting_retry_at,
+            peer_load: self.peer_load.clone(),
             random: self.random.clone(),
             accepting: Vec::new(),
             draw: ReplicaDraw::default(),
@@ -266,8 +272,14 @@
             ForwardEvent::LimitsChanged(limits) => self.change_limits(now, limits),
             ForwardEvent::ShutdownBegan(schedule) => self.begin_shutdown(schedule),
             ForwardEvent::FleetSize(size) => self.fleet_size = size.max(1),
-            ForwardEvent::FleetSighted(sighting) => self.update_quota_fleet(now, &sighting),
-            ForwardEvent::Interrupted => self.handle_interruption(now),
+            ForwardEvent::FleetSighted(sighting) => {
+                self.update_peer_load_members(&sighting);
+                self.update_quota_fleet(now, &sighting);
+            }
+            ForwardEvent::Interrupted => {
+                self.forget_peer_load(now);
+                self.handle_interruption(now);
+            }
             ForwardEvent::QuotaMessageReceived { from, message } => {
                 self.handle_quota_message(now, from, &message, commands);
             }
@@ -284,6 +296,9 @@
             ForwardEvent::UpstreamNoticed(notice) => {
                 self.apply_peer_notice(now, notice, commands);
             }
+            ForwardEvent::ObservationsReceived { from, observations } => {
+                self.receive_peer_load(now, from, &observations, commands);
+            }
             ForwardEvent::RequestArrived {
                 caller,
                 request,
@@ -310,7 +325,9 @@
     /// Time at which [`ForwardEvent::Wakeup`] is due.
     pub fn next_wakeup(&self) -> Option<Timestamp> {
         let timers = self.timers.next_due();
-        timers.into_iter().chain(self.next_waiting_retry()).min()
+        let waiting = self.next_waiting_retry().into_iter();
+        let timers = timers.into_iter().chain(waiting);
+        timers.chain(self.next_peer_load()).min()
     }
 
     /// Number of requests that have not been answered yet.
@@ -393,7 +410,10 @@
         if let Some(&key) = self.replicas_by_instance.get(&entry.instance) {
             let replica = &mut self.replicas[key];
             if replica.entry.address == entry.address && replica.service == service {
-                if let Some(event) = replica.update_entry(now, entry) {
+                self.peer_load.remove(replica.digest);
+                let event = replica.update_entry(now, entry);
+                self.peer_load.insert(replica.digest, key);
+                if let Some(event) = event {
                     let change = replica.apply_event(&self.replica_chart, now, event, warm_up);
                     commands.extend(change.map(ForwardCommand::Record));
                     if event == ReplicaEvent::Restarted {
@@ -415,7 +435,9 @@
         if let Some(notice) = absent_notice {
             replica.apply_absent_notice(notice);
         }
+        let digest = replica.digest;
         let upstream = self.replicas.insert(replica);
+        self.peer_load.insert(digest, upstream);
         self.services[service].replicas.push(upstream);
         self.replicas_by_instance
             .insert(Arc::clone(&instance), upstream);
@@ -487,6 +509,7 @@
         self.report_process_end(now, key, commands);
         let replica = &mut self.replicas[key];
         replica.registered = false;
+        self.peer_load.remove(replica.digest);
         if replica.has_announced_leaving() {
             self.absent_upstreams.note_left(now, &replica.entry);
         }
--- a/crates/core/src/prelude.rs
+++ b/crates/core/src/prelude.rs
@@ -50,6 +50,7 @@
     news::News,
     news_log::{NewsId, NewsLog},
     node_chart::{NodeAction, NodeEvent, NodeMachine, NodeState},
+    peer_load::{LoadObservation, ObservedLoad, OutgoingObservations, UpstreamDigest},
     quota_fleet::FleetSighting,
     quota_limits::QuotaLimits,
     quota_message::{QuotaAsk, QuotaGrant, QuotaMessage},
--- a/crates/core/src/replica.rs
+++ b/crates/core/src/replica.rs
@@ -3,6 +3,7 @@
 use crate::{
     decay::decay,
     load_estimate::{ExpectedLoad, LoadEstimate},
+    peer_evidence::PeerEvidence,
     prelude::*,
     replica_draw::Candidate,
     reply_times::ReplyTimes,
@@ -32,6 +33,10 @@
 /// reply that the queue delays is expected later.
 const REPORTED_LATE_RATIO: f64 = 1.25;
 
+/// Multiple of the expected reply time after which other nodes are told of the silence. Single requests may take twice as
+/// long as usual.
+pub(crate) const SHARED_LATE_RATIO: f64 = 3.0;
+
 /// Half-life of the failure rate, so that an upstream that has recovered receives requests again.
 const FAILURE_HALF_LIFE: Duration = Duration::from_secs(1);
 
@@ -87,6 +92,10 @@
     failure_rate: f64,
     failures_updated_at: Timestamp,
     load: LoadEstimate,
+    /// Digest of the start in `entry`.
+    pub(crate) digest: UpstreamDigest,
+    /// What this node and others have observed lately.
+    pub(crate) peers: PeerEvidence,
     /// Whether it is leaving by its own word. The registry's entry, which may be older, brings it back only with a new
     /// start or after it has shown the upstream as leaving.
     announced_leaving: bool,
@@ -105,6 +114,8 @@
     ) -> Self {
         Self {
             cold_until: now + entry.cold_for,
+            digest: UpstreamDigest::of(&entry.instance, entry.started_at_ms),
+            peers: PeerEvidence::default(),
             entry,
             entry_changed_at: now,
             service,
@@ -190,6 +201,7 @@
                     self.connection_losses = 0;
                     self.slowness = 1.0;
                     self.load = LoadEstimate::default();
+                    self.peers.clear();
                     self.backoff = INITIAL_BACKOFF;
                 }
                 ReplicaAction::ExpectRestart => self.may_have_restarted = true,
@@ -348,13 +360,43 @@
         let rounds_ahead = self.expected_load(now).rounds_ahead();
         let time = self.service_secs(now, times) * (1.0 + rounds_ahead);
         let late_after = duration_from_secs(time * REPORTED_LATE_RATIO);
-        let pause = self.silent_secs(now, late_after).unwrap_or(0.0);
-        time + pause + self.failure_cost_secs(now, times)
+        let own = time + self.silent_secs(now, late_after).unwrap_or(0.0);
+        let usual_secs = times.mean_secs();
+        let excess = self
+            .peers
+            .excess_secs(now, usual_secs, own, self.last_reply_at);
+        own + excess + self.failure_cost_secs(now, times)
+    }
+
+    /// Oldest attempt in flight.
+    pub(crate) fn oldest_attempt(&self) -> Option<AttemptKey> {
+        self.running.first().map(|(attempt, _)| *attempt)
+    }
+
+    /// Time without a sign since `from` if a reply is long overdue. Upstreams that have not reported their load are not
+    /// judged.
+    pub(crate) fn overdue(
+        &self,
+        now: Timestamp,
+        usual_secs: f64,
+        from: Timestamp,
+    ) -> Option<Duration> {
+        self.load.latest()?;
+        let (_, oldest) = self.running.first()?;
+        let silent = now.since(self.last_reply_at.max(*oldest).max(from));
+        let service_secs = self.usual_multiple(now) * usual_secs;
+        let expected_secs = service_secs * (1.0 + self.expected_load(now).rounds_ahead());
+        (silent.as_secs_f64() > expected_secs * SHARED_LATE_RATIO).then_some(silent)
     }
 
     /// Service time, judged by its replies and its reports.
     fn service_secs(&self, now: Timestamp, times: &ReplyTimes) -> f64 {
-        times.mean_secs() * self.slowness(now) * self.load.service_factor(now)
+        times.mean_secs() * self.usual_multiple(now)
+    }
+
+    /// Service time as a multiple of the usual one.
+    fn usual_multiple(&self, now: Timestamp) -> f64 {
+        self.slowness(now) * self.load.service_factor(now)
     }
 
     fn expected_load(&self, now: Timestamp) -> ExpectedLoad {
@@ -521,6 +563,8 @@
         if entry.started_at_ms != self.entry.started_at_ms {
             self.announced_leaving = false;
             (self.rest_until, self.avoid_until) = (Timestamp::ZERO, Timestamp::ZERO);
+            self.digest = UpstreamDigest::of(&entry.instance, entry.started_at_ms);
+            self.peers.clear();
         }
         self.entry = entry;
         self.entry_changed_at = now;
--- a/crates/core/tests/forwarding/forward_harness.rs
+++ b/crates/core/tests/forwarding/forward_harness.rs
@@ -294,6 +294,18 @@
         messages
     }
 
+    /// Messages with observations since the last call.
+    pub fn take_observations(&mut self) -> Vec<OutgoingObservations> {
+        let messages = self.commands.iter().filter_map(|command| match command {
+            ForwardCommand::SendObservations(message) => Some(message.clone()),
+            _ => None,
+        });
+        let messages = messages.collect();
+        self.commands
+            .retain(|command| !matches!(command, ForwardCommand::SendObservations(_)));
+        messages
+    }
+
     /// Attempts cancelled since the last call.
     pub fn take_cancelled(&mut self) -> Vec<AttemptKey> {
         let cancelled = self.commands.iter().filter_map(|command| match command {
--- a/crates/core/tests/forwarding/main.rs
+++ b/crates/core/tests/forwarding/main.rs
@@ -9,6 +9,7 @@
 mod identification;
 mod notices;
 mod overload;
+mod peer_load;
 mod quotas;
 mod replicas;
 mod reported_load;
--- a/crates/core/tests/placement/figures.rs
+++ b/crates/core/tests/placement/figures.rs
@@ -14,9 +14,16 @@
     wasted_slot_micros: u64,
     slots: u64,
     latencies: Vec<u64>,
+    /// Replies after the latency objective.
+    late: usize,
+    /// Messages between nodes, and the observations in them.
+    messages: usize,
+    observations: usize,
     pub refused: usize,
     pub max_queue: usize,
     pub sent: usize,
+    /// Those to the upstream that may be disturbed.
+    pub sent_to_disturbed: usize,
     /// Connections that were opened.
     opened: usize,
     /// Those beyond what the upstream accepts, which it would reset.
@@ -52,10 +59,16 @@
         self.max_open = self.max_open.max(open);
     }
 
-    pub fn add_latency(&mut self, latency: Duration) {
+    pub fn add_latency(&mut self, latency: Duration, objective: Duration) {
+        self.late += usize::from(latency > objective);
         self.latencies.push(latency.as_micros() as u64);
     }
 
+    pub fn add_messages(&mut self, messages: usize, observations: usize) {
+        self.messages += messages;
+        self.observations += observations;
+    }
+
     pub fn finish(&mut self) {
         self.latencies.sort_unstable();
     }
@@ -79,6 +92,26 @@
         self.refused as f64 / (self.refused + self.latencies.len()) as f64
     }
 
+    /// Share of requests that are not answered within the latency objective.
+    pub fn late_share(&self) -> f64 {
+        (self.refused + self.late) as f64 / (self.refused + self.latencies.len()) as f64
+    }
+
+    /// Share of all attempts that go to the upstream that may be disturbed.
+    pub fn disturbed_share(&self) -> f64 {
+        self.sent_to_disturbed as f64 / self.sent as f64
+    }
+
+    /// Observations sent per second by all nodes.
+    pub fn observations_per_sec(&self) -> f64 {
+        self.observations as f64 * 1e6 / self.measured_micros as f64
+    }
+
+    /// Messages between nodes sent per second by all nodes.
+    pub fn messages_per_sec(&self) -> f64 {
+        self.messages as f64 * 1e6 / self.measured_micros as f64
+    }
+
     /// Attempts on a connection that the upstream would reset, as a share of all.
     pub fn share_over_limit(&self) -> f64 {
         self.opened_over_limit as f64 / self.sent as f64
@@ -94,7 +127,8 @@
         let (p50, p99) = (self.quantile_ms(0.5), self.quantile_ms(0.99));
         write!(
             f,
-            "idle {:.3} wasted {:.4} p50 {p50:.1} p99 {p99:.1} max queue {} refused {:.4} other zone {:.3} opened {:.4} over {:.4} max open {}",
+            "late {:.4} idle {:.3} wasted {:.4} p50 {p50:.1} p99 {p99:.1} max queue {} refused {:.4} other zone {:.3} opened {:.4} over {:.4} max open {} messages {:.0} observations {:.0}",
+            self.late_share(),
             self.idle_share(),
             self.wasted_share(),
             self.max_queue,
@@ -103,6 +137,8 @@
             self.opened as f64 / self.sent as f64,
             self.share_over_limit(),
             self.max_open,
+            self.messages_per_sec(),
+            self.observations_per_sec(),
         )
     }
 }
--- a/crates/core/tests/placement/fleet.rs
+++ b/crates/core/tests/placement/fleet.rs
@@ -3,7 +3,7 @@
 use crate::{
     connections::Connections,
     figures::Figures,
-    upstream_model::{Job, UpstreamModel},
+    upstream_model::{Disturbance, DisturbanceKind, Job, UpstreamModel},
 };
 use bytes::Bytes;
 use medlarpost_core::prelude::*;
@@ -11,6 +11,7 @@
     cmp::Reverse,
     collections::{BinaryHeap, HashMap},
     fmt,
+    net::{Ipv4Addr, SocketAddr},
 };
 
 const WARM_UP: Duration = Duration::from_secs(3);
@@ -18,12 +19,25 @@
 /// The same with many upstreams, which send as many replies in less time.
 const MEASURED_WITH_MANY: Duration = Duration::from_secs(3);
 const MANY_UPSTREAMS: usize = 20;
+/// Length of a disturbance, which begins with the measurement.
+const DISTURBED: Duration = Duration::from_secs(6);
+/// Index of the upstream that is disturbed.
+const DISTURBED_UPSTREAM: usize = 0;
+/// Time measured after a disturbance.
+const RECOVERY: Duration = Duration::from_secs(1);
 /// Time of a message between a node and an upstream.
 const NETWORK_DELAY: Duration = Duration::from_micros(400);
+/// Time of a message between two nodes.
+const NODE_DELAY: Duration = Duration::from_millis(2);
+const SIGHTING_INTERVAL: Duration = Duration::from_secs(1);
+/// Port of the first node's address.
+const FIRST_PORT: u16 = 10_000;
 /// Time to open a connection.
 const CONNECT_DELAY: Duration = Duration::from_millis(6);
 /// Share of the capacity of all upstreams that the callers use.
 const LOAD_SHARE: f64 = 0.65;
+/// The same in cases with a disturbance, so that the other upstreams can take the load.
+const DISTURBED_LOAD_SHARE: f64 = 0.4;
 /// Share of an upstream's capacity that is left beside slow spells and pauses.
 const USABLE_CAPACITY: f64 = 0.87;
 const SLOTS: [u32; 6] = [4, 3, 5, 2, 7, 4];
@@ -53,6 +67,29 @@
     pub layout: Layout,
     /// Connections that an upstream accepts from all nodes.
     pub max_connections: u32,
+    /// Disturbance of one upstream.
+    pub disturbance: Option<DisturbanceKind>,
+    /// Whether nodes know each other and share observations.
+    pub shares: bool,
+}
+
+impl Case {
+    fn load_share(&self) -> f64 {
+        match self.disturbance {
+            Some(_) => DISTURBED_LOAD_SHARE,
+            None => LOAD_SHARE,
+        }
+    }
+
+    fn measured(&self) -> Duration {
+        if self.disturbance.is_some() {
+            DISTURBED + RECOVERY
+        } else if self.upstreams < MANY_UPSTREAMS {
+            MEASURED
+        } else {
+            MEASURED_WITH_MANY
+        }
+    }
 }
 
 impl fmt::Display for Case {
@@ -65,7 +102,11 @@
             f,
             "{} nodes {} upstreams {} ms {zones} zones",
             self.nodes, self.upstreams, self.report_age_ms
-        )
+        )?;
+        if let Some(kind) = self.disturbance {
+            write!(f, " {kind:?}")?;
+        }
+        f.write_str(if self.shares { " shared" } else { "" })
     }
 }
 
@@ -77,9 +118,20 @@
     Finished(usize, usize),
     Resume(usize),
     AtNode(usize),
+    Unanswered(usize, AttemptKey, NoReply),
+    /// A message, by its index, arrives at a node.
+    Observed(usize, usize),
+    Sighting,
     Wakeup(usize),
 }
 
+/// Why an attempt ends without a reply.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+enum NoReply {
+    Cancelled,
+    TimedOut,
+}
+
 #[derive(Debug)]
 struct Node {
     forwarder: Forwarder,
@@ -101,8 +153,13 @@
     jobs: Vec<Job>,
     /// Replies with the upstreams that wrote them.
     replies: Vec<(Job, usize, ReportedLoad)>,
+    /// Messages with the nodes that sent them.
+    messages: Vec<(usize, OutgoingObservations)>,
     connections: Connections,
     max_connections: u32,
+    is_disturbed: bool,
+    shares: bool,
+    objective: Duration,
     callers: SlotMap<CallerKey, Timestamp>,
     gap_micros: f64,
     service_micros: f64,
@@ -114,12 +171,10 @@
 pub fn run(case: Case, seed: u64) -> Figures {
     let mut fleet = Fleet::new(case, seed);
     fleet.push(Timestamp::ZERO, Event::Arrival);
-    let measured = if case.upstreams < MANY_UPSTREAMS {
-        MEASURED
-    } else {
-        MEASURED_WITH_MANY
-    };
-    let end = Timestamp::ZERO + WARM_UP + measured;
+    if case.shares || case.disturbance.is_some() {
+        fleet.push(Timestamp::ZERO, Event::Sighting);
+    }
+    let end = Timestamp::ZERO + WARM_UP + case.measured();
     while let Some(Reverse((at, _, event))) = fleet.events.pop() {
         if at >= end {
             break;
@@ -142,13 +197,18 @@
             let rng = fastrand::Rng::with_seed(seed + i as u64);
             UpstreamModel::new(SLOTS[i % SLOTS.len()], SPEEDS[i % SPEEDS.len()], rng)
         };
-        let upstreams: Vec<_> = (0..case.upstreams).map(models).collect();
+        let mut upstreams: Vec<_> = (0..case.upstreams).map(models).collect();
+        let from = Timestamp::ZERO + WARM_UP;
+        if let Some(kind) = case.disturbance {
+            let until = from + DISTURBED;
+            upstreams[DISTURBED_UPSTREAM].disturb(Disturbance { kind, from, until });
+        }
         let replies_per_sec =
             1_000.0 / case.report_age_ms as f64 * case.nodes as f64 * case.upstreams as f64;
         let capacity: f64 = (0..case.upstreams)
             .map(|i| f64::from(SLOTS[i % SLOTS.len()]) * SPEEDS[i % SPEEDS.len()])
             .sum();
-        let service_secs = LOAD_SHARE * USABLE_CAPACITY * capacity / replies_per_sec;
+        let service_secs = case.load_share() * USABLE_CAPACITY * capacity / replies_per_sec;
         let objective = MIN_OBJECTIVE.max(Duration::from_secs_f64(service_secs * 8.0));
         let nodes = (0..case.nodes).map(|i| new_node(case, i, objective, &mut rng));
         Self {
@@ -160,8 +220,12 @@
             upstreams,
             jobs: Vec::new(),
             replies: Vec::new(),
+            messages: Vec::new(),
             connections: Connections::default(),
             max_connections: case.max_connections,
+            is_disturbed: case.disturbance.is_some(),
+            shares: case.shares,
+            objective,
             callers: SlotMap::with_key(),
             gap_micros: 1e6 / replies_per_sec,
             service_micros: service_secs * 1e6,
@@ -202,6 +266,28 @@
                 };
                 self.tell(job.node, ForwardEvent::AttemptEnded(end));
             }
+            Event::Unanswered(node, attempt, reason) => {
+                let outcome = match reason {
+                    NoReply::Cancelled => ForwardOutcome::Cancelled,
+                    NoReply::TimedOut => ForwardOutcome::TimedOut,
+                };
+                let report = UpstreamReport::default();
+                let end = AttemptEnd {
+                    attempt,
+                    outcome,
+                    report,
+                };
+                self.tell(node, ForwardEvent::AttemptEnded(end));
+            }
+            Event::Observed(node, message) => {
+                let (sender, message) = &self.messages[message];
+                let event = ForwardEvent::ObservationsReceived {
+                    from: address_of(*sender),
+                    observations: message.observations.clone(),
+                };
+                self.tell(node, event);
+            }
+            Event::Sighting => self.sight_all(),
             Event::Wakeup(node) => {
                 if self.nodes[node]
                     .wakeup
@@ -214,6 +300,38 @@
         }
     }
 
+    /// Tells all nodes of each other if they share observations.
+    fn sight_all(&mut self) {
+        self.push(self.now + SIGHTING_INTERVAL, Event::Sighting);
+        let nodes = if self.shares { self.nodes.len() } else { 0 };
+        for node in 0..nodes {
+            let others = (0..self.nodes.len()).filter(|other| *other != node);
+            let members = others.map(|other| KnownMember {
+                address: address_of(other),
+                age: Duration::ZERO,
+            });
+            let sighting = FleetSighting {
+                own: address_of(node),
+                members: members.collect(),
+                size: Some(self.nodes.len() as u32),
+            };
+            self.tell(node, ForwardEvent::FleetSighted(sighting));
+        }
+    }
+
+    fn send_observations(&mut self, node: usize, message: OutgoingObservations) {
+        let index = self.messages.len();
+        if self.is_measuring() {
+            let sent = message.to.len() * message.observations.len();
+            self.figures.add_messages(message.to.len(), sent);
+        }
+        for to in &message.to {
+            let event = Event::Observed(node_at(*to), index);
+            self.push(self.now + NODE_DELAY, event);
+        }
+        self.messages.push((node, message));
+    }
+
     fn arrive(&mut self) {
         let gap = -self.rng.f64().max(1e-12).ln() * self.gap_micros;
         self.push(self.now + Duration::from_micros(gap as u64), Event::Arrival);
@@ -279,8 +397,18 @@
         for command in commands {
             match command {
                 ForwardCommand::SendAttempt {
-                    attempt, upstream, ..
-                } => self.send(node, attempt, upstream),
+                    attempt,
+                    upstream,
+                    deadline,
+                    ..
+                } => {
+                    self.end_without_reply(deadline, node, attempt, NoReply::TimedOut);
+                    self.send(node, attempt, upstream);
+                }
+                ForwardCommand::CancelAttempt { attempt, .. } => {
+                    self.end_without_reply(self.now, node, attempt, NoReply::Cancelled);
+                }
+                ForwardCommand::SendObservations(message) => self.send_observations(node, message),
                 ForwardCommand::Answer { caller, answer } => self.answer(caller, &answer),
                 _ => {}
             }
@@ -294,10 +422,24 @@
         }
     }
 
+    /// Ends an attempt at a time unless a reply comes before. In cases without a disturbance all attempts have replies.
+    fn end_without_reply(
+        &mut self,
+        at: Timestamp,
+        node: usize,
+        attempt: AttemptKey,
+        reason: NoReply,
+    ) {
+        if self.is_disturbed {
+            self.push(at, Event::Unanswered(node, attempt, reason));
+        }
+    }
+
     fn send(&mut self, node: usize, attempt: AttemptKey, upstream: UpstreamKey) {
         let upstream = self.nodes[node].upstreams[&upstream];
         if self.is_measuring() {
             self.figures.sent += 1;
+            self.figures.sent_to_disturbed += usize::from(upstream == DISTURBED_UPSTREAM);
             let far = upstream % ZONES.len() != self.nodes[node].zone;
             self.figures.sent_to_other_zones +=
                 usize::from(far && self.layout == Layout::ThreeZones);
@@ -329,12 +471,23 @@
             return;
         }
         match answer {
-            ForwardAnswer::Reply(_) => self.figures.add_latency(self.now.since(arrived)),
+            ForwardAnswer::Reply(_) => {
+                let latency = self.now.since(arrived);
+                self.figures.add_latency(latency, self.objective);
+            }
             _ => self.figures.refused += 1,
         }
     }
 }
 
+fn address_of(node: usize) -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::LOCALHOST, FIRST_PORT + node as u16))
+}
+
+fn node_at(address: SocketAddr) -> usize {
+    usize::from(address.port() - FIRST_PORT)
+}
+
 fn new_node(case: Case, index: usize, objective: Duration, rng: &mut fastrand::Rng) -> Node {
     let zone_of = |index: usize| match case.layout {
         Layout::OneZone => 0,
--- a/crates/core/tests/placement/goals.rs
+++ b/crates/core/tests/placement/goals.rs
@@ -3,7 +3,10 @@
 use crate::{
     figures::Figures,
     fleet::{self, Case, Layout},
+    upstream_model::DisturbanceKind,
 };
+use medlarpost_core::peer_load::{MESSAGE_BYTES, SHORT_OBSERVATION_BYTES};
+use std::fmt;
 
 /// Share of the earlier figures that a goal allows.
 const A_THIRD_LESS: f64 = 2.0 / 3.0;
@@ -11,6 +14,9 @@
 
 const SEEDS: std::ops::RangeInclusive<u64> = 11..=22;
 
+/// Seeds of the figures with a disturbance in the design note.
+const MEASURED_SEEDS: std::ops::RangeInclusive<u64> = 201..=230;
+
 /// Connections that an upstream accepts, in a fleet about as large.
 const FEW_CONNECTIONS: u32 = 77;
 
@@ -24,6 +30,36 @@
     p99_ms: f64,
 }
 
+/// Figures of a case with a disturbance, as means over its seeds.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct DisturbedMeans {
+    late_share: f64,
+    p99_ms: f64,
+    wasted_share: f64,
+    refused_share: f64,
+    /// Share of all attempts that the disturbed upstream gets.
+    disturbed_share: f64,
+    /// Sent by one node.
+    observations_per_sec: f64,
+    messages_per_sec: f64,
+}
+
+impl fmt::Display for DisturbedMeans {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "late {:.4} p99 {:.1} wasted {:.4} refused {:.4} to disturbed {:.4} observations {:.1} messages {:.1}",
+            self.late_share,
+            self.p99_ms,
+            self.wasted_share,
+            self.refused_share,
+            self.disturbed_share,
+            self.observations_per_sec,
+            self.messages_per_sec,
+        )
+    }
+}
+
 // Figures of the choice by the lowest expected time, in which reports counted for 150 ms.
 const FOUR_NODES_THREE_UPSTREAMS: MeanFigures = MeanFigures {
     wasted_share: 0.0927,
@@ -58,6 +94,8 @@
         report_age_ms,
         layout: Layout::OneZone,
         max_connections: 100_000,
+        disturbance: None,
+        shares: false,
     }
 }
 
@@ -95,6 +133,37 @@
     ]
 }
 
+fn disturbed(nodes: usize, report_age_ms: u64, kind: DisturbanceKind) -> Case {
+    Case {
+        disturbance: Some(kind),
+        ..case(nodes, 3, report_age_ms)
+    }
+}
+
+/// Cases in which one of three upstreams is disturbed. The single node has all reports of 70 nodes.
+fn disturbed_cases() -> Vec<Case> {
+    let fleets = [
+        (1, 14),
+        (4, 20),
+        (8, 20),
+        (70, 200),
+        (70, 1_000),
+        (300, 1_000),
+    ];
+    let kinds = [DisturbanceKind::Slow, DisturbanceKind::Silent];
+    let all = |kind| fleets.map(|(nodes, age_ms)| disturbed(nodes, age_ms, kind));
+    let undisturbed = [case(70, 3, 200), case(70, 3, 1_000), case(300, 3, 1_000)];
+    let disturbed = kinds.into_iter().flat_map(all);
+    disturbed.chain(undisturbed).collect()
+}
+
+fn sharing(case: Case) -> Case {
+    Case {
+        shares: true,
+        ..case
+    }
+}
+
 fn with_few_connections(case: Case) -> Case {
     Case {
         max_connections: FEW_CONNECTIONS,
@@ -120,6 +189,22 @@
     figures
 }
 
+fn means(case: Case, seeds: std::ops::RangeInclusive<u64>) -> DisturbedMeans {
+    let runs: Vec<_> = seeds.map(|seed| fleet::run(case, seed)).collect();
+    let mean =
+        |figure: fn(&Figures) -> f64| runs.iter().map(figure).sum::<f64>() / runs.len() as f64;
+    let nodes = case.nodes as f64;
+    DisturbedMeans {
+        late_share: mean(Figures::late_share),
+        p99_ms: mean(|figures| figures.quantile_ms(0.99)),
+        wasted_share: mean(Figures::wasted_share),
+        refused_share: mean(Figures::refused_share),
+        disturbed_share: mean(Figures::disturbed_share),
+        observations_per_sec: mean(Figures::observations_per_sec) / nodes,
+        messages_per_sec: mean(Figures::messages_per_sec) / nodes,
+    }
+}
+
 /// Checks that the means of a case are at most this share of the earlier ones.
 fn assert_at_most(case: Case, share: f64, earlier: MeanFigures) {
     let figures = mean_figures(case);
@@ -189,6 +274,54 @@
     );
 }
 
+/// Guards against reports between nodes that change anything in fleets whose nodes have most replies themselves.
+#[test]
+fn four_nodes_share_nothing() {
+    for kind in [DisturbanceKind::Slow, DisturbanceKind::Silent] {
+        let case = disturbed(4, 20, kind);
+
+        let (alone, shared) = (means(case, 11..=12), means(sharing(case), 11..=12));
+
+        assert_eq!(alone, shared);
+    }
+}
+
+/// Guards against news of a slow upstream that does not reach the other nodes or does not steer them.
+#[test]
+fn three_hundred_nodes_avoid_a_slow_upstream_sooner() {
+    let case = disturbed(300, 1_000, DisturbanceKind::Slow);
+
+    let (alone, shared) = (means(case, SEEDS), means(sharing(case), SEEDS));
+
+    println!("alone: {alone}\nshared: {shared}");
+    assert!(shared.late_share < alone.late_share);
+    assert!(shared.p99_ms < alone.p99_ms);
+    assert!(shared.wasted_share < alone.wasted_share);
+}
+
+/// Guards against messages beyond half of the limit on control traffic.
+#[test]
+fn observations_stay_within_their_bound() {
+    let case = sharing(disturbed(70, 200, DisturbanceKind::Slow));
+
+    let figures = means(case, 11..=12);
+
+    let observations = figures.observations_per_sec * SHORT_OBSERVATION_BYTES as f64;
+    let bytes = observations + figures.messages_per_sec * MESSAGE_BYTES as f64;
+    assert!(bytes > 0.0 && bytes < 3_000.0, "{bytes} bytes a second");
+}
+
+/// Prints the figures of the cases with a disturbance for the design note.
+#[test]
+#[ignore = "a measurement that checks nothing; run in a release build with --nocapture"]
+fn print_disturbed_figures() {
+    for case in disturbed_cases() {
+        for case in [case, sharing(case)] {
+            println!("{case}: {}", means(case, MEASURED_SEEDS));
+        }
+    }
+}
+
 /// Prints the figures of all cases for the design note.
 #[test]
 #[ignore = "a measurement that checks nothing; run in a release build with --nocapture"]
--- a/crates/core/tests/placement/upstream_model.rs
+++ b/crates/core/tests/placement/upstream_model.rs
@@ -12,6 +12,31 @@
 /// Service time on a VM also changes within short periods, by up to this share.
 const JITTER_MS: u64 = 60;
 const JITTER_SHARE: f64 = 0.3;
+/// Multiple of the service time during a [`DisturbanceKind::Slow`].
+const DISTURBED_FACTOR: f64 = 4.0;
+
+/// How an upstream is disturbed for some seconds.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum DisturbanceKind {
+    /// Its service takes several times as long.
+    Slow,
+    /// It neither starts nor ends requests.
+    Silent,
+}
+
+/// A disturbance of one upstream.
+#[derive(Clone, Copy, Debug)]
+pub struct Disturbance {
+    pub kind: DisturbanceKind,
+    pub from: Timestamp,
+    pub until: Timestamp,
+}
+
+impl Disturbance {
+    fn is_active(&self, now: Timestamp, kind: DisturbanceKind) -> bool {
+        self.kind == kind && (self.from..self.until).contains(&now)
+    }
+}
 
 /// A request at an upstream, and whom the reply goes to.
 #[derive(Clone, Copy, Debug)]
@@ -34,6 +59,7 @@
     next_slow: Timestamp,
     jitter: f64,
     next_jitter: Timestamp,
+    disturbance: Option<Disturbance>,
     rng: fastrand::Rng,
 }
 
@@ -50,10 +76,20 @@
             next_slow: Timestamp::from_millis(rng.u64(..SLOW_GAP_MS.1)),
             jitter: 1.0,
             next_jitter: Timestamp::ZERO,
+            disturbance: None,
             rng,
         }
     }
 
+    pub fn disturb(&mut self, disturbance: Disturbance) {
+        self.disturbance = Some(disturbance);
+    }
+
+    fn is_disturbed(&self, now: Timestamp, kind: DisturbanceKind) -> bool {
+        self.disturbance
+            .is_some_and(|disturbance| disturbance.is_active(now, kind))
+    }
+
     /// Brings pauses and speed up to date.
     pub fn update(&mut self, now: Timestamp) {
         while self.next_pause <= now {
@@ -62,6 +98,11 @@
             let gap = Duration::from_millis(self.rng.u64(PAUSE_GAP_MS.0..PAUSE_GAP_MS.1));
             self.next_pause = self.paused_until + gap;
         }
+        if let Some(disturbance) = self.disturbance
+            && disturbance.is_active(now, DisturbanceKind::Silent)
+        {
+            self.paused_until = self.paused_until.max(disturbance.until);
+        }
         while self.next_slow <= now {
             self.slow_until = self.next_slow + Duration::from_millis(SLOW_SPELL_MS);
             let gap = Duration::from_millis(self.rng.u64(SLOW_GAP_MS.0..SLOW_GAP_MS.1));
@@ -90,12 +131,19 @@
             // The pause that begins while it runs, at its mean length.
             end = end + Duration::from_millis(u64::midpoint(PAUSE_MS.0, PAUSE_MS.1));
         }
+        if let Some(disturbance) = self.disturbance
+            && disturbance.is_active(end, DisturbanceKind::Silent)
+        {
+            end = end + disturbance.until.since(disturbance.from);
+        }
         Some((job, end))
     }
 
     /// Service time now as a multiple of its usual one.
     pub fn slowness(&self, now: Timestamp) -> f64 {
-        if self.slow_until > now {
+        if self.is_disturbed(now, DisturbanceKind::Slow) {
+            self.jitter * DISTURBED_FACTOR
+        } else if self.slow_until > now {
             self.jitter * SLOW_FACTOR
         } else {
             self.jitter
--- a/crates/node/src/forward_log.rs
+++ b/crates/node/src/forward_log.rs
@@ -121,6 +121,13 @@
             service,
             from_peer,
         } => write_notice(log, notice, service.as_deref(), *from_peer),
+        ForwardTelemetry::LoadObserved {
+            instance,
+            observer,
+            age,
+            load,
+        } => debug!(log, "upstream_observed"; "instance" => &**instance, "observer" => %observer,
+            "age_ms" => age.as_millis() as u64, "kind" => load.name(), "load" => ?load),
         ForwardTelemetry::ConfigurationApplied { version, routes } => {
             info!(log, "configuration_in_force"; "version" => *version, "routes" => *routes);
         }
--- a/crates/node/src/forward_metrics.rs
+++ b/crates/node/src/forward_metrics.rs
@@ -24,6 +24,7 @@
     given_up: IntCounterVec,
     upstream_changes: IntCounterVec,
     notices: IntCounterVec,
+    observations: IntCounterVec,
     workspace_answers: IntCounterVec,
     quota_decisions: IntCounterVec,
     workspaces: WorkspaceLabels,
@@ -108,6 +109,11 @@
                 "Notices that an upstream is leaving or wants no requests, by kind and by who told this node",
                 &["kind", "source"],
             )?,
+            observations: counter(
+                "medlarpost_forward_observations_used_total",
+                "Observations of upstreams by other nodes that count in the choice of upstreams, by kind",
+                "kind",
+            )?,
             workspace_answers: counter_by(
                 "medlarpost_forward_workspace_answers_total",
                 "Answers to the requests of a workspace, refusals included, by outcome",
@@ -195,6 +201,9 @@
                     .with_label_values(&[notice.kind.name(), source])
                     .inc();
             }
+            ForwardTelemetry::LoadObserved { load, .. } => {
+                self.observations.with_label_values(&[load.name()]).inc();
+            }
             ForwardTelemetry::RefusedStopping { .. } => {
                 self.given_up.with_label_values(&["stopping"]).inc();
             }
--- a/crates/node/src/forward_node.rs
+++ b/crates/node/src/forward_node.rs
@@ -8,6 +8,7 @@
     forward_task::{self, ForwardMessage, ForwardParts, ForwardSender, ForwardStatus},
     http_server::{self, ServerPhase},
     member_task::{self, MemberChannels},
+    peer_load_metrics::PeerLoadMetrics,
     prelude::*,
     registry::Registry,
     registry_watcher::RegistryWatcher,
@@ -154,6 +155,8 @@
         let metrics_registry = prometheus::Registry::new();
         let metrics =
             ForwardMetrics::register(&metrics_registry).context(node_error::MetricsSnafu)?;
+        let peer_load_metrics =
+            PeerLoadMetrics::register(&metrics_registry).context(node_error::MetricsSnafu)?;
         let (forward, forward_rx) = mpsc::unbounded_channel();
         let (announcements, announcements_rx) = mpsc::unbounded_channel();
         let (limits, limits_rx) = watch::channel(CallerLimits::default());
@@ -199,6 +202,7 @@
             forward: forward.clone(),
             contacts,
             registry_fleet,
+            metrics: peer_load_metrics,
         };
         let members = member_task::run(bound.members, membership, clock, channels, log.clone());
         spawn_essential("members", members, &failures);
--- a/crates/node/src/forward_task.rs
+++ b/crates/node/src/forward_task.rs
@@ -308,6 +308,9 @@
             ForwardCommand::SendQuotaMessage(message) => {
                 self.announce(Announcement::Quota(message));
             }
+            ForwardCommand::SendObservations(message) => {
+                self.announce(Announcement::Observations(message));
+            }
             ForwardCommand::Record(telemetry) => {
                 self.parts.metrics.record(&telemetry);
                 crate::forward_log::write_telemetry(&self.parts.log, &telemetry);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -55,6 +55,7 @@
 mod member_task;
 mod news_exchange;
 mod peer_links;
+mod peer_load_metrics;
 mod reader_polls;
 mod redeem_calls;
 mod registry_contents;
--- a/crates/node/src/member_task.rs
+++ b/crates/node/src/member_task.rs
@@ -1,7 +1,8 @@
-//! The task that owns the UDP socket for heartbeats and messages about quotas between nodes.
+//! The task that owns the UDP socket for heartbeats, messages about quotas and observations of upstreams between nodes.
 
 use crate::{
     forward_task::{ForwardMessage, ForwardSender},
+    peer_load_metrics::PeerLoadMetrics,
     prelude::*,
 };
 use futures_util::{SinkExt as _, StreamExt as _};
@@ -26,6 +27,8 @@
     Notice(UpstreamNotice),
     /// A message about quotas for one other node.
     Quota(OutgoingQuotaMessage),
+    /// Observations of upstreams for some other nodes.
+    Observations(OutgoingObservations),
 }
 
 /// Channels between the membership task and the rest of the node.
@@ -38,6 +41,8 @@
     pub(crate) contacts: watch::Sender<Vec<SocketAddr>>,
     /// Receives the fleet from which the readers of the registry are chosen.
     pub(crate) registry_fleet: watch::Sender<Option<RegistryFleet>>,
+    /// Metrics of observations.
+    pub(crate) metrics: PeerLoadMetrics,
 }
 
 impl MemberChannels {
@@ -75,6 +80,10 @@
                 Some(Ok((Some(MemberDatagram::Quota(message)), from))) => {
                     channels.send_event(ForwardEvent::QuotaMessageReceived { from, message });
                 }
+                Some(Ok((Some(MemberDatagram::Observations(observations)), from))) => {
+                    channels.metrics.record_received(&observations);
+                    channels.send_event(ForwardEvent::ObservationsReceived { from, observations });
+                }
                 Some(Ok((None, from))) => debug!(log, "datagram_unreadable"; "from" => %from),
                 // Refers to an earlier datagram, for example an unreachable port.
                 Some(Err(fault)) => debug!(log, "datagram_failed"; "fault" => %fault),
@@ -90,6 +99,12 @@
                 Announcement::Quota(OutgoingQuotaMessage { to, message }) => {
                     send_datagram(&mut framed, message, to, &log).await;
                 }
+                Announcement::Observations(OutgoingObservations { to, observations }) => {
+                    for target in to {
+                        channels.metrics.record_sent(&observations);
+                        send_datagram(&mut framed, observations.clone(), target, &log).await;
+                    }
+                }
             },
             () = tokio::time::sleep_until(next_heartbeat) => {
                 let (targets, heartbeat) = membership.next_heartbeat(clock.now());
--- a/crates/wire/src/gen/medlarpost.member.rs
+++ b/crates/wire/src/gen/medlarpost.member.rs
@@ -26,6 +26,57 @@
     /// A message about quotas of workspaces. Such a datagram is no beat: only it and the major version are set.
     #[prost(message, optional, tag = "8")]
     pub quota: ::core::option::Option<Quota>,
+    /// Observations of upstreams. Such a datagram is no beat: only it and the major version are set.
+    #[prost(message, optional, tag = "9")]
+    pub observations: ::core::option::Option<Observations>,
+}
+/// What nodes have observed lately of upstreams that are not as usual.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Observations {
+    /// At most 32.
+    #[prost(message, repeated, tag = "1")]
+    pub observations: ::prost::alloc::vec::Vec<Observation>,
+}
+/// An observation of one node.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Observation {
+    /// First 8 bytes, big-endian, of the SHA-256 digest of the upstream's instance, a zero byte and the start of its process
+    /// in milliseconds since the Unix epoch (8 bytes, big-endian).
+    #[prost(fixed64, tag = "1")]
+    pub upstream: u64,
+    /// Where the observer takes datagrams: 4 or 16 bytes of the IP address and 2 of the port, big-endian; empty for the
+    /// sender.
+    #[prost(bytes = "bytes", tag = "2")]
+    pub observer: ::prost::bytes::Bytes,
+    /// Milliseconds since the observation.
+    #[prost(uint32, tag = "3")]
+    pub age_ms: u32,
+    /// What was observed; an observation of another kind is ignored.
+    #[prost(oneof = "observation::Content", tags = "4, 5")]
+    pub content: ::core::option::Option<observation::Content>,
+}
+/// Nested message and enum types in `Observation`.
+pub mod observation {
+    /// What was observed; an observation of another kind is ignored.
+    #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Oneof)]
+    pub enum Content {
+        /// The upstream replied.
+        #[prost(message, tag = "4")]
+        Replied(super::Replied),
+        /// It gave no sign for so many milliseconds although a reply was due.
+        #[prost(uint32, tag = "5")]
+        SilentMs(u32),
+    }
+}
+/// What a reply showed.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Replied {
+    /// Service time in percent of the usual one.
+    #[prost(uint32, tag = "1")]
+    pub service_percent: u32,
+    /// Requests in the queue in percent of the slots.
+    #[prost(uint32, tag = "2")]
+    pub queue_percent: u32,
 }
 /// A message by which nodes share the quotas of workspaces.
 #[derive(Clone, PartialEq, ::prost::Message)]
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -11,12 +11,14 @@
 pub mod member_datagram;
 pub mod member_heartbeat_codec;
 pub mod message;
+pub mod observation_codec;
 pub mod prelude;
 pub mod snapshot_codec;
 pub mod wire_error;
 
 mod decode;
 mod encode;
+
 mod quota_codec;
 
 mod generated_member {
--- a/crates/wire/src/member_datagram.rs
+++ b/crates/wire/src/member_datagram.rs
@@ -9,4 +9,6 @@
     Heartbeat(MemberHeartbeat),
     /// A message about quotas of workspaces.
     Quota(QuotaMessage),
+    /// Observations of upstreams.
+    Observations(Vec<LoadObservation>),
 }
--- a/crates/wire/src/member_heartbeat_codec.rs
+++ b/crates/wire/src/member_heartbeat_codec.rs
@@ -1,8 +1,10 @@
-//! Codec for the UDP datagrams between nodes: heartbeats, by which they discover each other, and messages about quotas.
+//! Codec for the UDP datagrams between nodes: heartbeats, by which they discover each other, messages about quotas, and
+//! observations of upstreams.
 
 use crate::{
     generated_member::{self as gen_member, notice::Content},
     member_datagram::MemberDatagram,
+    observation_codec::{decode_observations, encode_observations},
     prelude::*,
     quota_codec::{decode_quota_message, encode_quota_message},
 };
@@ -22,7 +24,7 @@
 /// Longest name of an instance in a notice, in bytes.
 const MAX_INSTANCE_BYTES: usize = 200;
 
-/// Encodes and decodes one heartbeat or message about quotas per datagram.
+/// Encodes and decodes one heartbeat, message about quotas or list of observations per datagram.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct MemberHeartbeatCodec;
 
@@ -47,6 +49,7 @@
             barred: barred.collect(),
             notices: item.notices.iter().map(encode_notice).collect(),
             quota: None,
+            observations: None,
         };
         dst.reserve(message.encoded_len());
         message.encode(dst)?;
@@ -69,6 +72,25 @@
     }
 }
 
+impl Encoder<Vec<LoadObservation>> for MemberHeartbeatCodec {
+    type Error = std::io::Error;
+
+    fn encode(
+        &mut self,
+        item: Vec<LoadObservation>,
+        dst: &mut bytes::BytesMut,
+    ) -> std::io::Result<()> {
+        let message = gen_member::Beat {
+            major: MAJOR_VERSION,
+            observations: Some(encode_observations(&item)),
+            ..gen_member::Beat::default()
+        };
+        dst.reserve(message.encoded_len());
+        message.encode(dst)?;
+        Ok(())
+    }
+}
+
 impl Decoder for MemberHeartbeatCodec {
     type Error = std::io::Error;
     type Item = Option<MemberDatagram>;
@@ -92,6 +114,10 @@
     if message.major != MAJOR_VERSION {
         return None;
     }
+    if let Some(observations) = &message.observations {
+        let observations = decode_observations(observations);
+        return Some(MemberDatagram::Observations(observations));
+    }
     match message.quota {
         Some(quota) => decode_quota_message(quota).map(MemberDatagram::Quota),
         None => decode_heartbeat(&message).map(MemberDatagram::Heartbeat),
--- a/crates/wire/tests/member_heartbeat_codec.rs
+++ b/crates/wire/tests/member_heartbeat_codec.rs
@@ -2,7 +2,11 @@
 //! codec fail and so end the socket's task.
 
 use bytes::BytesMut;
-use medlarpost_core::{prelude::*, quota_message::MAX_QUOTA_ENTRIES};
+use medlarpost_core::{
+    peer_load::{MAX_OBSERVATIONS, MESSAGE_BYTES, OBSERVATION_BYTES, SHORT_OBSERVATION_BYTES},
+    prelude::*,
+    quota_message::MAX_QUOTA_ENTRIES,
+};
 use medlarpost_wire::{
     member_datagram::MemberDatagram,
     member_heartbeat_codec::{MAX_DATAGRAM_BYTES, MemberHeartbeatCodec},
@@ -126,6 +130,64 @@
     );
 }
 
+fn observation(observer: Option<&str>, load: ObservedLoad) -> LoadObservation {
+    LoadObservation {
+        upstream: UpstreamDigest::of("i-1", 1_796_000_000_000),
+        observer: observer.map(|address| address.parse().unwrap()),
+        age: Duration::from_millis(1_999),
+        load,
+    }
+}
+
+const LONGEST_REPLY: ObservedLoad = ObservedLoad::Replied {
+    service_percent: 2_000,
+    queue_percent: 100_000,
+};
+
+fn observations_round_trip(observations: Vec<LoadObservation>) -> (usize, Option<MemberDatagram>) {
+    let mut datagram = BytesMut::new();
+    MemberHeartbeatCodec
+        .encode(observations, &mut datagram)
+        .unwrap();
+    let bytes = datagram.len();
+    let decoded = MemberHeartbeatCodec.decode(&mut datagram).unwrap();
+    (bytes, decoded.flatten())
+}
+
+/// Guards against observations that are lost or changed on the way.
+#[test]
+fn observations_round_trip_with_all_kinds_of_observers() {
+    let elapsed = Duration::from_millis(700);
+    let observations = vec![
+        observation(None, LONGEST_REPLY),
+        observation(Some("10.0.0.1:7740"), ObservedLoad::Silent { elapsed }),
+        observation(Some("[fd00::1]:7740"), LONGEST_REPLY),
+    ];
+
+    let (_, decoded) = observations_round_trip(observations.clone());
+
+    assert_eq!(decoded, Some(MemberDatagram::Observations(observations)));
+}
+
+/// Guards against datagrams larger than the sizes by which a node limits its traffic, and against peers that make a node
+/// hold long lists.
+#[test]
+fn observations_are_bounded_in_size_and_number() {
+    let short = vec![observation(Some("255.255.255.255:65535"), LONGEST_REPLY); MAX_OBSERVATIONS];
+    let long = vec![observation(Some("[ffff::ffff]:65535"), LONGEST_REPLY); MAX_OBSERVATIONS + 1];
+
+    let (short_bytes, _) = observations_round_trip(short);
+    let (long_bytes, decoded) = observations_round_trip(long);
+
+    assert!(short_bytes <= MESSAGE_BYTES + SHORT_OBSERVATION_BYTES * MAX_OBSERVATIONS);
+    assert!(long_bytes <= MESSAGE_BYTES + OBSERVATION_BYTES * MAX_OBSERVATIONS);
+    assert!(long_bytes <= MAX_DATAGRAM_BYTES);
+    let Some(MemberDatagram::Observations(decoded)) = decoded else {
+        panic!("not observations");
+    };
+    assert_eq!(decoded.len(), MAX_OBSERVATIONS);
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         failure_persistence: None,
