--- a/crates/medlarctl/src/soak_fleet.rs
+++ b/crates/medlarctl/src/soak_fleet.rs
@@ -3,18 +3,13 @@
 use crate::{
     loopback_proxy::{LinkFault, LoopbackProxy},
     soak_caller::CALLERS_PORT,
-    soak_history::{
-        Disturbance, InstanceRecord, PublishedConfiguration, SoakBounds, SoakHistory, TimeSpan,
-    },
-    soak_keys,
-    soak_observation::{SoakTime, monotonic_micros},
+    soak_history::{Disturbance, SoakBounds, SoakHistory, TimeSpan},
+    soak_observation::monotonic_micros,
     soak_options::{SoakAddresses, SoakOptions},
     soak_process::SoakProcess,
+    soak_upstreams::FleetUpstream,
 };
-use medlarpost_stand_in::{
-    CONFIGURATION_KEY, EntryState, RouteKind, StoreCommand, UpstreamEntry, configuration,
-    evacuation_key, route, settings, shard_route, upstream_entry, upstream_key,
-};
+use medlarpost_stand_in::{StoreCommand, settings};
 use rustix::process::Signal;
 use std::{io, net::SocketAddr, path::PathBuf, time::Duration};
 use tokio::sync::mpsc;
@@ -23,10 +18,10 @@
 pub(crate) const ZONES: [&str; 3] = ["z-a", "z-b", "z-c"];
 
 /// Service that answers reads and bookings.
-const DESK_SERVICE: &str = "desk";
+pub(crate) const DESK_SERVICE: &str = "desk";
 
 /// Prefixes of the service names of the two sets of shards.
-const SHARD_SETS: [&str; 2] = ["first", "second"];
+pub(crate) const SHARD_SETS: [&str; 2] = ["first", "second"];
 
 /// Port on which nodes answer readiness checks.
 const READINESS_PORT: u16 = 18_081;
@@ -34,21 +29,6 @@
 /// Port of the store, and the first port of the proxies to it.
 const STORE_PORT: u16 = 18_082;
 
-/// First port of the upstreams and of the proxies to them.
-const FIRST_UPSTREAM_PORT: u16 = 20_000;
-
-/// Requests that an upstream runs at the same time.
-const UPSTREAM_SLOTS: u32 = 3;
-
-/// Time for which an upstream is cold after its start.
-const COLD_TIME: Duration = Duration::from_secs(3);
-
-/// Requests a second that a cold upstream can serve.
-const COLD_REQUESTS_PER_SECOND: f64 = 10.0;
-
-/// Number of versions whose added routes a configuration keeps, its own included.
-const ADDED_ROUTES_KEPT: usize = 2;
-
 /// Bounds in the settings of the nodes that differ from the defaults of the stand-in's settings.
 const SETTINGS_BOUNDS: [(&str, &str); 6] = [
     ("contactMs", "4000"),
@@ -81,19 +61,6 @@
     log: PathBuf,
 }
 
-/// An upstream: its process, unless it is down, and the proxy between the nodes and it.
-pub(crate) struct FleetUpstream {
-    pub(crate) process: Option<SoakProcess>,
-    pub(crate) link: LoopbackProxy,
-    service: String,
-    zone: &'static str,
-    /// Address of the proxy, which is registered in the store.
-    proxy_address: SocketAddr,
-    /// Address of the process.
-    process_address: SocketAddr,
-    pub(crate) instance: String,
-}
-
 /// The processes of a soak.
 pub(crate) struct SoakFleet {
     pub(crate) options: SoakOptions,
@@ -105,15 +72,15 @@
     nodes: Vec<FleetNode>,
     pub(crate) upstreams: Vec<FleetUpstream>,
     /// Replaced upstreams that still serve.
-    leaving: Vec<FleetUpstream>,
-    reports: mpsc::UnboundedSender<String>,
+    pub(crate) leaving: Vec<FleetUpstream>,
+    pub(crate) reports: mpsc::UnboundedSender<String>,
     /// Number of instances started so far.
-    instances_started: usize,
-    version: u64,
+    pub(crate) instances_started: usize,
+    pub(crate) version: u64,
     /// Index in [`SHARD_SETS`] of the set of the newest configuration.
-    shard_set: usize,
+    pub(crate) shard_set: usize,
     /// Number of upstream entries written so far; makes each entry differ from earlier ones.
-    entries_written: u64,
+    pub(crate) entries_written: u64,
 }
 
 impl SoakFleet {
@@ -163,7 +130,7 @@
         Ok(fleet)
     }
 
-    fn service_names(&self) -> Vec<String> {
+    pub(crate) fn service_names(&self) -> Vec<String> {
         let shards = SHARD_SETS
             .into_iter()
             .flat_map(|prefix| self.shard_services(prefix));
@@ -172,7 +139,7 @@
             .collect()
     }
 
-    fn shard_services(&self, prefix: &str) -> Vec<String> {
+    pub(crate) fn shard_services(&self, prefix: &str) -> Vec<String> {
         (0..self.options.shards)
             .map(|shard| format!("{prefix}-{shard}"))
             .collect()
@@ -281,41 +248,6 @@
         }
     }
 
-    /// Writes an incomplete entry of another service under the key of an upstream that runs.
-    pub(crate) async fn put_odd_entry(&mut self, position: usize) {
-        let upstream = &self.upstreams[position];
-        let other = self.upstreams.iter().map(|upstream| &upstream.service);
-        let other = other.into_iter().find(|name| **name != upstream.service);
-        let (Some(service), Some(_)) = (other, &upstream.process) else {
-            return;
-        };
-        let entry = serde_json::json!({
-            "service": service,
-            "address": upstream.proxy_address.to_string(),
-            "zone": upstream.zone,
-            "slots": UPSTREAM_SLOTS,
-            "state": "ready",
-            "warmupLeftMs": 0,
-        });
-        let key = upstream_key(&upstream.instance);
-        let command = StoreCommand::Put(key, entry.to_string().into_bytes());
-        self.send_store_command(&command).await;
-    }
-
-    /// Writes the entry of an upstream that runs again.
-    pub(crate) async fn repeat_entry(&mut self, position: usize) {
-        if self.upstreams[position].process.is_none() {
-            return;
-        }
-        let upstream = self.upstreams.swap_remove(position);
-        let cold_until = self.history.instances[&upstream.instance].cold_until;
-        let cold_for = Duration::from_micros(cold_until.saturating_sub(monotonic_micros()));
-        self.put_entry(&upstream, EntryState::Ready, cold_for).await;
-        self.upstreams.push(upstream);
-        let last = self.upstreams.len() - 1;
-        self.upstreams.swap(position, last);
-    }
-
     /// Sends a signal to the store.
     pub(crate) fn signal_store(&self, signal: Signal) {
         self.store.signal(signal);
@@ -337,213 +269,6 @@
     pub(crate) fn end_disturbance(&mut self, node: usize, index: usize) {
         self.history.node_disturbances[node][index].1.until = Some(monotonic_micros());
     }
-
-    async fn start_upstream(
-        &mut self,
-        service: &str,
-        zone: &'static str,
-        cold_for: Duration,
-    ) -> io::Result<FleetUpstream> {
-        let port = FIRST_UPSTREAM_PORT + self.instances_started as u16;
-        let proxy_address = SocketAddr::from((self.addresses.upstream_proxies(), port));
-        let process_address = SocketAddr::from((self.addresses.upstreams(), port));
-        let mut upstream = FleetUpstream {
-            process: None,
-            link: LoopbackProxy::start(proxy_address, process_address).await?,
-            service: service.to_owned(),
-            zone,
-            proxy_address,
-            process_address,
-            instance: String::new(),
-        };
-        self.start_instance(&mut upstream, cold_for).await?;
-        Ok(upstream)
-    }
-
-    /// Starts a new instance of an upstream that is down, and registers it in the store.
-    async fn start_instance(
-        &mut self,
-        upstream: &mut FleetUpstream,
-        cold_for: Duration,
-    ) -> io::Result<()> {
-        self.instances_started += 1;
-        upstream.instance = format!("i-{}", self.instances_started);
-        let (address, slots) = (
-            upstream.process_address.to_string(),
-            UPSTREAM_SLOTS.to_string(),
-        );
-        let arguments = [
-            "stand-in-upstream",
-            "--address",
-            &address,
-            "--instance",
-            &upstream.instance,
-            "--slots",
-            &slots,
-        ];
-        let arguments = arguments.map(str::to_owned);
-        let program = &self.options.stand_in_program;
-        let process = SoakProcess::spawn_with_commands(program, &arguments, self.reports.clone())?;
-        upstream.process = Some(process);
-        let record = InstanceRecord {
-            service: upstream.service.clone(),
-            zone: upstream.zone.to_owned(),
-            cold_until: monotonic_micros() + cold_for.as_micros() as SoakTime,
-            leaving: None,
-        };
-        let instance = upstream.instance.clone();
-        self.history.instances.insert(instance, record);
-        self.put_entry(upstream, EntryState::Ready, cold_for).await;
-        Ok(())
-    }
-
-    async fn put_entry(&mut self, upstream: &FleetUpstream, state: EntryState, cold_for: Duration) {
-        self.entries_written += 1;
-        let value = upstream_entry(&UpstreamEntry {
-            service: &upstream.service,
-            address: upstream.proxy_address,
-            zone: upstream.zone,
-            slots: UPSTREAM_SLOTS,
-            state,
-            cold_for,
-            sequence: self.entries_written,
-        });
-        let key = upstream_key(&upstream.instance);
-        let command = StoreCommand::Put(key, value.to_string().into_bytes());
-        self.send_store_command(&command).await;
-    }
-
-    /// Kills an upstream and removes its entry from the store.
-    pub(crate) async fn kill_upstream(&mut self, position: usize) {
-        let upstream = &mut self.upstreams[position];
-        upstream.process = None;
-        let key = upstream_key(&upstream.instance);
-        self.send_store_command(&StoreCommand::Remove(key)).await;
-    }
-
-    /// Starts another instance of a killed upstream at the same address. Does nothing if the upstream runs.
-    pub(crate) async fn restart_upstream(&mut self, position: usize) -> io::Result<()> {
-        if self.upstreams[position].process.is_some() {
-            return Ok(());
-        }
-        let mut upstream = self.upstreams.swap_remove(position);
-        let result = self.start_instance(&mut upstream, COLD_TIME).await;
-        self.upstreams.push(upstream);
-        let last = self.upstreams.len() - 1;
-        self.upstreams.swap(position, last);
-        result
-    }
-
-    /// Starts another instance at another address. The entry of the present one is marked as leaving, or removed if it is
-    /// not announced. Returns the name of the leaving instance.
-    pub(crate) async fn replace_upstream(
-        &mut self,
-        position: usize,
-        is_announced: bool,
-    ) -> io::Result<Option<String>> {
-        let present = &self.upstreams[position];
-        if present.process.is_none() {
-            return Ok(None);
-        }
-        let (service, zone) = (present.service.clone(), present.zone);
-        let replacement = self.start_upstream(&service, zone, COLD_TIME).await?;
-        let leaving = std::mem::replace(&mut self.upstreams[position], replacement);
-        let instance = leaving.instance.clone();
-        if is_announced {
-            self.put_entry(&leaving, EntryState::Draining, Duration::ZERO)
-                .await;
-        } else {
-            let command = StoreCommand::Remove(upstream_key(&instance));
-            self.send_store_command(&command).await;
-        }
-        if let Some(record) = self.history.instances.get_mut(&instance) {
-            record.leaving = Some(monotonic_micros());
-        }
-        self.leaving.push(leaving);
-        Ok(Some(instance))
-    }
-
-    /// Kills a leaving instance and removes its entry from the store.
-    pub(crate) async fn end_leaving(&mut self, instance: &str) {
-        self.leaving
-            .retain(|upstream| upstream.instance != instance);
-        let key = upstream_key(instance);
-        self.send_store_command(&StoreCommand::Remove(key)).await;
-    }
-
-    /// Publishes a configuration with this set of shards, which adds a route and drops an older one.
-    pub(crate) async fn publish_configuration(&mut self, shard_set: usize) {
-        // Versions rise in uneven steps; they need not be consecutive.
-        self.version += 1 + self.version % 3;
-        self.shard_set = shard_set;
-        let version = self.version;
-        let previous = self.history.configurations.last();
-        let mut added_routes = previous.map_or(Vec::new(), |last| last.added_routes.clone());
-        added_routes.push(version);
-        added_routes.drain(..added_routes.len().saturating_sub(ADDED_ROUTES_KEPT));
-        let names = self.shard_services(SHARD_SETS[shard_set]);
-        let shard_names: Vec<&str> = names.iter().map(String::as_str).collect();
-        let mut routes = vec![
-            route(RouteKind::Idempotent, "/read/", DESK_SERVICE),
-            route(RouteKind::NonIdempotent, "/book/", DESK_SERVICE),
-            shard_route("/q/", &shard_names),
-        ];
-        routes.extend(added_routes.iter().map(|version| {
-            route(
-                RouteKind::Idempotent,
-                &format!("/added-{version}/"),
-                DESK_SERVICE,
-            )
-        }));
-        let services = self.service_names();
-        let services: Vec<&str> = services.iter().map(String::as_str).collect();
-        let mut value = configuration(version, &routes, &services, COLD_REQUESTS_PER_SECOND);
-        let key_holders = soak_keys::key_holders(version);
-        value["tenants"] = soak_keys::workspaces(&key_holders);
-        let command =
-            StoreCommand::Put(CONFIGURATION_KEY.to_owned(), value.to_string().into_bytes());
-        self.send_store_command(&command).await;
-        self.history.configurations.push(PublishedConfiguration {
-            version,
-            published_at: monotonic_micros(),
-            added_routes,
-            shard_services: names,
-            key_holders,
-        });
-    }
-
-    /// Publishes a configuration with the same set of shards or the other one.
-    pub(crate) async fn publish_next_configuration(&mut self, other_set: bool) {
-        let shard_set = if other_set {
-            1 - self.shard_set
-        } else {
-            self.shard_set
-        };
-        self.publish_configuration(shard_set).await;
-    }
-
-    /// Versions whose added routes callers request: those of the newest configuration and the one dropped last.
-    pub(crate) fn requested_route_versions(&self) -> Vec<u64> {
-        let newest = self.history.configurations.iter().rev();
-        newest
-            .take(ADDED_ROUTES_KEPT + 1)
-            .map(|c| c.version)
-            .collect()
-    }
-
-    /// Takes a zone out, or back in.
-    pub(crate) async fn set_zone_out(&mut self, zone: &'static str, out: bool) {
-        let key = evacuation_key(zone);
-        if out {
-            self.send_store_command(&StoreCommand::Put(key, b"{}".to_vec()))
-                .await;
-            let span = span_from_now();
-            self.history.zones_out.push((zone.to_owned(), span));
-            return;
-        }
-        self.history.end_zone_out(zone, monotonic_micros());
-        self.send_store_command(&StoreCommand::Remove(key)).await;
-    }
 }
 
 /// A span that begins now and has no end yet.
