--- a/crates/core/src/registry_readers.rs
+++ b/crates/core/src/registry_readers.rs
@@ -20,8 +20,8 @@
 const NODES_PER_READER: u32 = 8;
 
 /// Time since a member was last known to be alive after which it is no reader. Members are reported by chance, so that
-/// a live one of a large fleet can be silent for more than 10 s.
-const MAX_READER_SILENCE: Duration = Duration::from_secs(20);
+/// a live one of a large fleet can be silent for more than 20 s.
+const MAX_READER_SILENCE: Duration = Duration::from_secs(30);
 
 /// Time for which a follower does not choose a reader again that failed it.
 const AVOIDANCE: Duration = Duration::from_secs(15);
--- a/crates/medlarctl/src/explain_command.rs
+++ b/crates/medlarctl/src/explain_command.rs
@@ -85,6 +85,7 @@
                         | "zones_out_changed"
                         | "registry_lost"
                         | "registry_regained"
+                        | "registry_following_ended"
                         | "fleet_size_changed"
                         | "reply_ended"
                         | "node_draining"
