--- a/crates/core/tests/forwarding/peer_load.rs
+++ b/crates/core/tests/forwarding/peer_load.rs
@@ -1,7 +1,10 @@
 //! Observations of upstreams that nodes share.
 
 use crate::forward_harness::{Harness, harness, request, served_reply, service_route, upstream};
-use medlarpost_core::prelude::*;
+use medlarpost_core::{
+    peer_load::{MESSAGE_BYTES, SHORT_OBSERVATION_BYTES},
+    prelude::*,
+};
 use std::net::{Ipv4Addr, SocketAddr};
 
 const REPLY_TIME: Duration = Duration::from_millis(10);
@@ -225,6 +228,44 @@
     assert!(harness.take_observations().is_empty());
 }
 
+/// Guards against control traffic that grows with the number of disturbed upstreams.
+#[test]
+fn hundred_disturbed_upstreams_stay_within_the_byte_limit() {
+    const SECONDS: usize = 10;
+    // Longer than the time in which a repetition is not passed on.
+    const ROUND: Duration = Duration::from_millis(400);
+    let mut harness = node_in_fleet(200);
+    let instances: Vec<_> = (0..100).map(|n| format!("slow-{n}@z-a")).collect();
+    for instance in &instances {
+        harness.handle(ForwardEvent::UpstreamRegistered(RegisteredUpstream {
+            instance: instance.as_str().into(),
+            ..upstream("desk", "z-a")
+        }));
+    }
+
+    let mut bytes = 0;
+    for round in 0..SECONDS * 1_000 / ROUND.as_millis() as usize {
+        for instance in &instances {
+            let observation = LoadObservation {
+                upstream: UpstreamDigest::of(instance, 1),
+                ..of_second(VERY_SLOW)
+            };
+            receive(&mut harness, round as u8 + 1, observation);
+        }
+        harness.advance(ROUND);
+        for OutgoingObservations { to, observations } in harness.take_observations() {
+            let each = MESSAGE_BYTES + SHORT_OBSERVATION_BYTES * observations.len();
+            bytes += to.len() * each;
+        }
+    }
+
+    let per_sec = bytes / SECONDS;
+    assert!(
+        (1_000..=3_000).contains(&per_sec),
+        "{per_sec} bytes a second"
+    );
+}
+
 /// Guards against messages in small fleets, and in deployments whose upstreams do not report their load.
 #[test]
 fn small_fleets_and_upstreams_without_reports_share_nothing() {
