Name grant requests as such, one bucket for their rate, one place that reads CLOCK_BOOTTIME

The rate of grant requests had its own copy of the token bucket, the suspension detector its own reading of the clock, and Rust code used the wire's words Ask and Asks. The simulation looks node numbers up by address and skips nodes without waiting requests. No behaviour changes.

--- a/crates/core/src/forward_quota.rs
+++ b/crates/core/src/forward_quota.rs
@@ -104,12 +104,12 @@
         match decision {
             QuotaDecision::Admitted => {
                 record_admission(&workspace, "admitted", commands);
-                self.ask_for_quota(now, &workspace, commands);
+                self.request_grants(now, &workspace, commands);
                 Some(admission)
             }
             QuotaDecision::Refused { retry_after } => {
                 self.refuse_over_quota(now, arrival, &workspace, retry_after, commands);
-                self.ask_for_quota(now, &workspace, commands);
+                self.request_grants(now, &workspace, commands);
                 None
             }
             QuotaDecision::Pending => {
@@ -119,7 +119,7 @@
                     workspace: Arc::clone(&workspace),
                     wait_until: now + WorkspaceQuotas::max_wait(arrival.request.time_left),
                 });
-                self.ask_for_quota(now, &workspace, commands);
+                self.request_grants(now, &workspace, commands);
                 self.waiting_retry_at = now + RETRY_INTERVAL;
                 self.decide_waiting(now, commands);
                 None
@@ -147,7 +147,7 @@
         workspaces.sort();
         workspaces.dedup();
         for workspace in workspaces {
-            self.ask_for_quota(now, &workspace, commands);
+            self.request_grants(now, &workspace, commands);
         }
         self.decide_waiting(now, commands);
     }
@@ -174,7 +174,7 @@
         }
     }
 
-    fn ask_for_quota(
+    fn request_grants(
         &mut self,
         now: Timestamp,
         workspace: &Arc<str>,
@@ -182,7 +182,7 @@
     ) {
         let mut outgoing = Vec::new();
         if let Some(quotas) = &mut self.quotas {
-            quotas.ask(now, workspace, &mut outgoing);
+            quotas.request_grants(now, workspace, &mut outgoing);
         }
         push_messages(outgoing, commands);
     }
--- a/crates/core/src/owner_contact.rs
+++ b/crates/core/src/owner_contact.rs
@@ -2,18 +2,18 @@
 
 use crate::prelude::*;
 
-/// Unanswered asks in a row after which an owner is asked less often.
+/// Unanswered requests in a row after which an owner is contacted less often.
 const MAX_UNANSWERED: u32 = 4;
 
-/// Interval of asks to an owner that does not answer, to notice when it is there again.
+/// Interval of requests to an owner that does not answer, to notice when it is there again.
 const PROBE_INTERVAL: Duration = Duration::from_millis(250);
 
 /// What a node remembers of its exchange with one owner.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct OwnerContact {
-    /// Asks since its last reply.
+    /// Requests since its last reply.
     unanswered: u32,
-    last_ask_at: Timestamp,
+    last_request_at: Timestamp,
     /// Pause that its last reply asked for.
     pause: Duration,
     paused_until: Timestamp,
@@ -21,15 +21,15 @@
 
 impl OwnerContact {
     /// Whether the owner may be asked now.
-    pub(crate) fn can_be_asked(&self, now: Timestamp) -> bool {
-        let is_probe_due = now.since(self.last_ask_at) >= PROBE_INTERVAL;
+    pub(crate) fn accepts_requests(&self, now: Timestamp) -> bool {
+        let is_probe_due = now.since(self.last_request_at) >= PROBE_INTERVAL;
         self.paused_until <= now && (self.unanswered < MAX_UNANSWERED || is_probe_due)
     }
 
     /// Records that the owner was asked.
-    pub(crate) fn record_ask(&mut self, now: Timestamp) {
+    pub(crate) fn record_request(&mut self, now: Timestamp) {
         self.unanswered = self.unanswered.saturating_add(1);
-        self.last_ask_at = now;
+        self.last_request_at = now;
     }
 
     /// Records a reply, with the pause that it asks for.
@@ -46,6 +46,6 @@
 
     /// Whether it has not been asked for this time.
     pub(crate) fn is_idle(&self, now: Timestamp, time: Duration) -> bool {
-        now.since(self.last_ask_at) > time
+        now.since(self.last_request_at) > time
     }
 }
--- a/crates/core/src/prelude.rs
+++ b/crates/core/src/prelude.rs
@@ -53,7 +53,7 @@
     peer_load::{LoadObservation, ObservedLoad, OutgoingObservations, UpstreamDigest},
     quota_fleet::FleetSighting,
     quota_limits::QuotaLimits,
-    quota_message::{QuotaAsk, QuotaGrant, QuotaMessage},
+    quota_message::{GrantRequest, QuotaGrant, QuotaMessage},
     refusal::{Execution, Refusal, RefusalKind},
     registered_upstream::RegisteredUpstream,
     registry_bounds::{RegistryBounds, RegistryLimits},
--- a/crates/core/src/quota_bucket.rs
+++ b/crates/core/src/quota_bucket.rs
@@ -1,4 +1,4 @@
-//! Token bucket of the owner of a workspace.
+//! Token bucket for quotas and for the rate of messages about them.
 
 use crate::prelude::*;
 
@@ -23,6 +23,14 @@
         }
     }
 
+    /// A bucket with this many tokens.
+    pub fn with_tokens(at: Timestamp, tokens: f64) -> Self {
+        Self {
+            tokens,
+            updated_at: at,
+        }
+    }
+
     /// Adds the tokens of the time since the last call, and returns how many there are.
     pub fn refill(&mut self, now: Timestamp, rate: f64, burst: f64) -> f64 {
         let added = now.since(self.updated_at).as_secs_f64() * rate;
--- a/crates/core/src/quota_limits.rs
+++ b/crates/core/src/quota_limits.rs
@@ -5,7 +5,7 @@
 /// Share of the window for which a grant may be used, counted from the moment at which it was asked for.
 const GRANT_LIFETIME_SHARE: f64 = 0.1;
 
-/// Share of the window for which a grant may be used if the owner can't take asks as often as that.
+/// Share of the window for which a grant may be used if the owner can't take grant requests as often as that.
 const MAX_GRANT_LIFETIME_SHARE: f64 = 0.5;
 
 /// Time between the admission of a request and its run by an upstream that the division of the tolerance allows for.
--- a/crates/core/src/quota_message.rs
+++ b/crates/core/src/quota_message.rs
@@ -11,12 +11,12 @@
 /// Message between a node and the owner of workspaces.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum QuotaMessage {
-    /// A node asks for grants.
-    Ask {
+    /// A node requests grants.
+    Request {
         /// Number of the message, which the reply repeats.
         id: u32,
         /// One for each workspace.
-        asks: Vec<QuotaAsk>,
+        requests: Vec<GrantRequest>,
     },
     /// The owner's reply.
     Reply {
@@ -32,7 +32,7 @@
 
 /// A node's demand for requests of one workspace.
 #[derive(Clone, Debug, Eq, PartialEq)]
-pub struct QuotaAsk {
+pub struct GrantRequest {
     /// Name of the workspace.
     pub workspace: Arc<str>,
     /// Requests that wait or are expected soon.
--- a/crates/core/src/quota_owner.rs
+++ b/crates/core/src/quota_owner.rs
@@ -9,18 +9,18 @@
 /// them all.
 const MAX_TOKEN_SHARE: f64 = 0.5;
 
-/// Asks that an owner takes in one second, in a fleet of up to [`SMALL_FLEET`] nodes and in a larger one. A reply has
+/// Grant requests that an owner takes in one second, in a fleet of up to [`SMALL_FLEET`] nodes and in a larger one. A reply has
 /// about 70 bytes, and the heartbeats of a large fleet leave less of the 6 KB a second for control traffic.
-const MAX_ASKS_PER_SECOND: (f64, f64) = (64.0, 32.0);
+const MAX_REQUESTS_PER_SECOND: (f64, f64) = (64.0, 32.0);
 
 /// Nodes up to which heartbeats are short.
 const SMALL_FLEET: u32 = 128;
 
-/// Share of the greatest rate of asks from which on the owner asks the nodes to pause.
+/// Share of the greatest rate of grant requests from which on the owner asks the nodes to pause.
 const PAUSE_THRESHOLD: f64 = 0.9;
 
-/// Time over which asks are counted.
-const ASK_WINDOW: Duration = Duration::from_secs(4);
+/// Time over which grant requests are counted.
+const REQUEST_WINDOW: Duration = Duration::from_secs(4);
 
 /// Time for which nodes are asked to pause at least. Nodes ask for what they need in a pause only once they know of it, so
 /// that pauses which come and go would leave them short.
@@ -30,7 +30,7 @@
 const MAX_PAUSE: Duration = Duration::from_secs(15);
 
 /// Most nodes that are counted as asking; more of them lengthen the pause no further.
-const MAX_ASKERS: usize = 1_000;
+const MAX_REQUESTERS: usize = 1_000;
 
 /// Retry time of a node that does not act as the owner, or whose share is nothing yet.
 const NO_SHARE_RETRY: Duration = Duration::from_secs(1);
@@ -39,22 +39,22 @@
 #[derive(Clone, Debug, Default)]
 pub struct QuotaOwner {
     buckets: HashMap<Arc<str>, QuotaBucket>,
-    load: AskLoad,
+    load: RequestLoad,
     /// Time until which grants that last longer than usual may still count in a window.
     long_until: Timestamp,
 }
 
-/// Rate at which other nodes ask.
+/// Rate at which other nodes request grants.
 #[derive(Clone, Debug, Default)]
-struct AskLoad {
+struct RequestLoad {
     window_start: Timestamp,
-    asks: u32,
-    /// Asks in the last whole window.
-    last_asks: u32,
+    requests: u32,
+    /// Requests in the last whole window.
+    last_requests: u32,
     /// Time until which nodes are asked to pause.
     pausing_until: Timestamp,
     /// When each node last asked.
-    askers: HashMap<SocketAddr, Timestamp>,
+    requesters: HashMap<SocketAddr, Timestamp>,
 }
 
 impl QuotaOwner {
@@ -69,14 +69,14 @@
     }
 
     /// Counts a message of another node, and returns the pause that it should make before the next one.
-    pub fn record_ask(
+    pub fn record_request(
         &mut self,
         now: Timestamp,
         from: SocketAddr,
         fleet: &QuotaFleet,
         limits: &QuotaLimits,
     ) -> Duration {
-        let (in_small_fleet, in_large_fleet) = MAX_ASKS_PER_SECOND;
+        let (in_small_fleet, in_large_fleet) = MAX_REQUESTS_PER_SECOND;
         let is_small = fleet.size().is_some_and(|size| size <= SMALL_FLEET);
         let max_rate = if is_small {
             in_small_fleet
@@ -97,9 +97,9 @@
         now: Timestamp,
         fleet: &mut QuotaFleet,
         division: &QuotaDivision,
-        ask: &QuotaAsk,
+        request: &GrantRequest,
     ) -> QuotaGrant {
-        let workspace = &ask.workspace;
+        let workspace = &request.workspace;
         let refused = |retry_after| QuotaGrant {
             workspace: Arc::clone(workspace),
             tokens: 0,
@@ -124,8 +124,8 @@
             return refused(NO_SHARE_RETRY);
         }
         let available = tokens as u32;
-        let granted = if ask.wanted <= available {
-            ask.wanted
+        let granted = if request.wanted <= available {
+            request.wanted
         } else {
             let most = (tokens * MAX_TOKEN_SHARE).ceil() as u32;
             most.min(available)
@@ -138,31 +138,35 @@
     }
 }
 
-impl AskLoad {
+impl RequestLoad {
     fn record(&mut self, now: Timestamp, from: SocketAddr) {
         let age = now.since(self.window_start);
-        if age >= ASK_WINDOW {
-            self.last_asks = if age < ASK_WINDOW * 2 { self.asks } else { 0 };
-            self.asks = 0;
+        if age >= REQUEST_WINDOW {
+            self.last_requests = if age < REQUEST_WINDOW * 2 {
+                self.requests
+            } else {
+                0
+            };
+            self.requests = 0;
             self.window_start = now;
-            self.askers
-                .retain(|_, asked_at| now.since(*asked_at) < MAX_PAUSE + ASK_WINDOW);
+            self.requesters
+                .retain(|_, requested_at| now.since(*requested_at) < MAX_PAUSE + REQUEST_WINDOW);
         }
-        self.asks += 1;
-        if self.askers.len() < MAX_ASKERS || self.askers.contains_key(&from) {
-            self.askers.insert(from, now);
+        self.requests += 1;
+        if self.requesters.len() < MAX_REQUESTERS || self.requesters.contains_key(&from) {
+            self.requesters.insert(from, now);
         }
     }
 
-    /// Time in which each of the nodes may ask once without exceeding the rate; nothing while the rate is kept.
+    /// Time in which each of the nodes may send one request without exceeding the rate; nothing while the rate is kept.
     fn pause(&mut self, now: Timestamp, max_rate: f64) -> Duration {
-        let rate = f64::from(self.asks.max(self.last_asks)) / ASK_WINDOW.as_secs_f64();
+        let rate = f64::from(self.requests.max(self.last_requests)) / REQUEST_WINDOW.as_secs_f64();
         if rate > max_rate * PAUSE_THRESHOLD {
             self.pausing_until = now + PAUSING_TIME;
         }
         if now >= self.pausing_until {
             return Duration::ZERO;
         }
-        Duration::from_secs_f64(self.askers.len() as f64 / max_rate).min(MAX_PAUSE)
+        Duration::from_secs_f64(self.requesters.len() as f64 / max_rate).min(MAX_PAUSE)
     }
 }
--- a/crates/core/src/quota_share.rs
+++ b/crates/core/src/quota_share.rs
@@ -6,10 +6,10 @@
 /// Time over which the demand is averaged.
 const DEMAND_TIME: Duration = Duration::from_secs(2);
 
-/// Time after which an ask without a reply is repeated.
+/// Time after which a grant request without a reply is repeated.
 const REPLY_TIMEOUT: Duration = Duration::from_millis(40);
 
-/// Time after which no reply to an ask is expected any more.
+/// Time after which no reply to a grant request is expected any more.
 const MAX_REPLY_TIME: Duration = Duration::from_millis(100);
 
 /// Requests expected during the life of a grant below which none is asked for ahead, because it would mostly be wasted.
@@ -18,17 +18,17 @@
 /// Standard deviations of the expected requests by which a node asks for more of them.
 const AHEAD_DEVIATIONS: f64 = 0.5;
 
-/// Least time between a reply that does not cover what was wanted and the next ask.
-const MIN_ASK_INTERVAL: Duration = Duration::from_millis(50);
+/// Least time between a reply that does not cover what was wanted and the next grant request.
+const MIN_REQUEST_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Longest time until the next ask. The owner's share may have grown meanwhile.
-const MAX_ASK_INTERVAL: Duration = Duration::from_secs(1);
+/// Longest time until the next grant request. The owner's share may have grown meanwhile.
+const MAX_REQUEST_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Shortest retry time that a refused caller is given, which its header field can express.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(1);
 
-/// Asks of which a late reply is still accepted.
-const MAX_OPEN_ASKS: usize = 4;
+/// Grant requests of which a late reply is still accepted.
+const MAX_OPEN_REQUESTS: usize = 4;
 
 /// What this node may admit of one workspace's requests.
 #[derive(Clone, Debug)]
@@ -44,10 +44,10 @@
     /// Requests per second, as of `demand_updated_at`.
     demand: f64,
     demand_updated_at: Timestamp,
-    /// Asks that may still be answered, oldest first.
-    open_asks: VecDeque<OpenAsk>,
+    /// Grant requests that may still be answered, oldest first.
+    open_requests: VecDeque<OpenRequest>,
     /// Time before which nothing is asked for.
-    next_ask_at: Timestamp,
+    next_request_at: Timestamp,
     /// Time before which the quota is known to be used up.
     exhausted_until: Timestamp,
     /// When the last reply arrived.
@@ -55,9 +55,9 @@
 }
 
 #[derive(Clone, Copy, Debug)]
-struct OpenAsk {
+struct OpenRequest {
     id: u32,
-    asked_at: Timestamp,
+    requested_at: Timestamp,
     wanted: u32,
 }
 
@@ -84,8 +84,8 @@
             debt: 0,
             demand: 0.0,
             demand_updated_at: now,
-            open_asks: VecDeque::new(),
-            next_ask_at: Timestamp::ZERO,
+            open_requests: VecDeque::new(),
+            next_request_at: Timestamp::ZERO,
             exhausted_until: Timestamp::ZERO,
             replied_at: None,
         }
@@ -128,19 +128,19 @@
         self.debt = (self.debt + 1).min(max_debt);
     }
 
-    /// Time until one more request fits, if no reply will tell earlier. A reply can come if an ask is open or if the
-    /// owner `can_be_asked`.
+    /// Time until one more request fits, if no reply will tell earlier. A reply can come if a grant request is open or if the
+    /// owner `accepts_requests`.
     pub(crate) fn refusal_time(
         &self,
         now: Timestamp,
-        can_be_asked: bool,
+        accepts_requests: bool,
         local_window: Duration,
     ) -> Option<Duration> {
-        if self.exhausted_until > now && self.next_ask_at > now {
+        if self.exhausted_until > now && self.next_request_at > now {
             return Some(self.exhausted_until.since(now).max(MIN_RETRY_AFTER));
         }
         let is_awaiting = self.is_awaiting(now, MAX_REPLY_TIME);
-        if is_awaiting || (can_be_asked && self.next_ask_at <= now) {
+        if is_awaiting || (accepts_requests && self.next_request_at <= now) {
             return None;
         }
         let oldest = self.local.front();
@@ -154,14 +154,14 @@
     ///
     /// Grants are asked for ahead of the requests that are expected during the life of one, so that a request rarely
     /// has to wait.
-    pub(crate) fn next_ask(
+    pub(crate) fn next_request(
         &mut self,
         now: Timestamp,
         waiting: u32,
         lifetime: Duration,
     ) -> Option<u32> {
-        self.expire_asks(now, lifetime);
-        if self.is_awaiting(now, REPLY_TIMEOUT) || now < self.next_ask_at {
+        self.expire_requests(now, lifetime);
+        if self.is_awaiting(now, REPLY_TIMEOUT) || now < self.next_request_at {
             return None;
         }
         let expected = self.current_demand(now) * lifetime.as_secs_f64();
@@ -185,20 +185,20 @@
         )
     }
 
-    /// Records that an ask is sent.
-    pub(crate) fn record_ask(&mut self, now: Timestamp, id: u32, wanted: u32) {
-        let asked_at = now;
-        self.open_asks.push_back(OpenAsk {
+    /// Records that a grant request is sent.
+    pub(crate) fn record_request(&mut self, now: Timestamp, id: u32, wanted: u32) {
+        let requested_at = now;
+        self.open_requests.push_back(OpenRequest {
             id,
-            asked_at,
+            requested_at,
             wanted,
         });
-        if self.open_asks.len() > MAX_OPEN_ASKS {
-            self.open_asks.pop_front();
+        if self.open_requests.len() > MAX_OPEN_REQUESTS {
+            self.open_requests.pop_front();
         }
     }
 
-    /// Adds a grant. One that does not belong to an open ask is a copy, or too late, and is ignored.
+    /// Adds a grant. One that does not belong to an open grant request is a copy, or too late, and is ignored.
     pub(crate) fn receive(
         &mut self,
         now: Timestamp,
@@ -206,17 +206,20 @@
         grant: &QuotaGrant,
         lifetime: Duration,
     ) {
-        let position = self.open_asks.iter().position(|ask| ask.id == id);
-        let Some(ask) = position.and_then(|i| self.open_asks.remove(i)) else {
+        let position = self
+            .open_requests
+            .iter()
+            .position(|request| request.id == id);
+        let Some(request) = position.and_then(|i| self.open_requests.remove(i)) else {
             return;
         };
-        self.open_asks.retain(|other| other.id > id);
+        self.open_requests.retain(|other| other.id > id);
         self.replied_at = Some(now);
-        let ends_at = ask.asked_at + lifetime;
+        let ends_at = request.requested_at + lifetime;
         let wait = grant.retry_after;
-        if grant.tokens < ask.wanted && !wait.is_zero() {
-            self.next_ask_at = now + wait.clamp(MIN_ASK_INTERVAL, MAX_ASK_INTERVAL);
-            self.exhausted_until = now + wait.max(MIN_ASK_INTERVAL);
+        if grant.tokens < request.wanted && !wait.is_zero() {
+            self.next_request_at = now + wait.clamp(MIN_REQUEST_INTERVAL, MAX_REQUEST_INTERVAL);
+            self.exhausted_until = now + wait.max(MIN_REQUEST_INTERVAL);
         }
         if ends_at <= now {
             return;
@@ -235,8 +238,8 @@
     /// Ends all grants, after an interruption of unknown length.
     pub(crate) fn end_grants(&mut self) {
         self.grants.clear();
-        self.open_asks.clear();
-        self.next_ask_at = Timestamp::ZERO;
+        self.open_requests.clear();
+        self.next_request_at = Timestamp::ZERO;
         self.exhausted_until = Timestamp::ZERO;
     }
 
@@ -247,8 +250,8 @@
 
     /// Whether something was asked for so lately that a reply may come.
     fn is_awaiting(&self, now: Timestamp, time: Duration) -> bool {
-        let last = self.open_asks.back();
-        last.is_some_and(|ask| now.since(ask.asked_at) < time)
+        let last = self.open_requests.back();
+        last.is_some_and(|request| now.since(request.requested_at) < time)
     }
 
     fn current_demand(&self, now: Timestamp) -> f64 {
@@ -269,13 +272,13 @@
         }
     }
 
-    fn expire_asks(&mut self, now: Timestamp, lifetime: Duration) {
+    fn expire_requests(&mut self, now: Timestamp, lifetime: Duration) {
         while self
-            .open_asks
+            .open_requests
             .front()
-            .is_some_and(|ask| now.since(ask.asked_at) > lifetime)
+            .is_some_and(|request| now.since(request.requested_at) > lifetime)
         {
-            self.open_asks.pop_front();
+            self.open_requests.pop_front();
         }
     }
 }
--- a/crates/core/src/workspace_quotas.rs
+++ b/crates/core/src/workspace_quotas.rs
@@ -3,6 +3,7 @@
 use crate::{
     owner_contact::OwnerContact,
     prelude::*,
+    quota_bucket::QuotaBucket,
     quota_fleet::QuotaFleet,
     quota_message::MAX_QUOTA_ENTRIES,
     quota_owner::QuotaOwner,
@@ -11,10 +12,10 @@
 use std::{collections::HashMap, net::SocketAddr};
 
 /// Messages that a node sends in one second to ask for grants.
-const MAX_ASKS_PER_SECOND: f64 = 25.0;
+const MAX_REQUESTS_PER_SECOND: f64 = 25.0;
 
 /// Messages that it may send at once.
-const ASK_BURST: f64 = 10.0;
+const REQUEST_BURST: f64 = 10.0;
 
 /// Longest time for which a request waits for the owner's reply. It covers one lost message.
 const MAX_WAIT: Duration = Duration::from_millis(90);
@@ -41,8 +42,8 @@
     /// Exchange with each node that was asked lately.
     contacts: HashMap<SocketAddr, OwnerContact>,
     next_id: u32,
-    ask_tokens: f64,
-    ask_tokens_at: Timestamp,
+    /// Grant requests that this node may send.
+    request_bucket: QuotaBucket,
     next_cleanup: Timestamp,
 }
 
@@ -80,8 +81,7 @@
             waiting: HashMap::new(),
             contacts: HashMap::new(),
             next_id: 0,
-            ask_tokens: ASK_BURST,
-            ask_tokens_at: now,
+            request_bucket: QuotaBucket::with_tokens(now, REQUEST_BURST),
             next_cleanup: now,
         }
     }
@@ -199,8 +199,8 @@
         usual.map_or(self.limits.window, |usual| usual.min(self.limits.window))
     }
 
-    /// Sends the asks that are due for this workspace.
-    pub fn ask(
+    /// Sends the grant requests that are due for this workspace.
+    pub fn request_grants(
         &mut self,
         now: Timestamp,
         workspace: &Arc<str>,
@@ -213,27 +213,27 @@
             return;
         }
         let is_own = self.fleet.is_own(owner);
-        let may_send = is_own || (self.can_be_asked(now, owner) && self.has_ask_token(now));
+        let may_send = is_own || (self.accepts_requests(now, owner) && self.has_request_token(now));
         if !may_send {
             return;
         }
         let id = self.next_id;
-        let asks = if is_own {
-            self.due_ask(now, id, workspace).into_iter().collect()
+        let requests = if is_own {
+            self.due_request(now, id, workspace).into_iter().collect()
         } else {
-            self.due_asks(now, id, owner, workspace)
+            self.due_requests(now, id, owner, workspace)
         };
-        if asks.is_empty() {
+        if requests.is_empty() {
             return;
         }
         self.next_id = id.wrapping_add(1);
         if is_own {
-            let grants = self.grant_all(now, &asks);
+            let grants = self.grant_all(now, &requests);
             return self.apply_grants(now, id, Duration::ZERO, &grants);
         }
-        self.ask_tokens -= 1.0;
-        self.contacts.entry(owner).or_default().record_ask(now);
-        let message = QuotaMessage::Ask { id, asks };
+        self.request_bucket.take(1);
+        self.contacts.entry(owner).or_default().record_request(now);
+        let message = QuotaMessage::Request { id, requests };
         outgoing.push(OutgoingQuotaMessage { to: owner, message });
     }
 
@@ -247,9 +247,11 @@
     ) -> bool {
         self.fleet.record_contact(now, from);
         match message {
-            QuotaMessage::Ask { id, asks } => {
-                let pause = self.owner.record_ask(now, from, &self.fleet, &self.limits);
-                let grants = self.grant_all(now, asks);
+            QuotaMessage::Request { id, requests } => {
+                let pause = self
+                    .owner
+                    .record_request(now, from, &self.fleet, &self.limits);
+                let grants = self.grant_all(now, requests);
                 let message = QuotaMessage::Reply {
                     id: *id,
                     pause,
@@ -287,15 +289,15 @@
         // Other nodes answer the first heartbeat of a new one within milliseconds, so that it is worth waiting for.
         self.fleet.size()?;
         let owner = self.fleet.owner(now, workspace);
-        let can_be_asked = owner.is_some_and(|owner| self.can_be_asked(now, owner));
+        let accepts_requests = owner.is_some_and(|owner| self.accepts_requests(now, owner));
         let local_window = self.limits.local_window();
         self.share(now, workspace)
-            .refusal_time(now, can_be_asked, local_window)
+            .refusal_time(now, accepts_requests, local_window)
     }
 
-    fn can_be_asked(&self, now: Timestamp, owner: SocketAddr) -> bool {
+    fn accepts_requests(&self, now: Timestamp, owner: SocketAddr) -> bool {
         let contact = self.contacts.get(&owner);
-        contact.is_none_or(|contact| contact.can_be_asked(now))
+        contact.is_none_or(|contact| contact.accepts_requests(now))
     }
 
     fn try_take(&mut self, now: Timestamp, workspace: &Arc<str>) -> bool {
@@ -327,17 +329,17 @@
             .retain(|_, contact| !contact.is_idle(now, idle_time));
     }
 
-    /// Asks that are due for all workspaces of one owner, `first` before the others.
-    fn due_asks(
+    /// Grant requests that are due for all workspaces of one owner, `first` before the others.
+    fn due_requests(
         &mut self,
         now: Timestamp,
         id: u32,
         owner: SocketAddr,
         first: &Arc<str>,
-    ) -> Vec<QuotaAsk> {
-        let mut asks: Vec<_> = self.due_ask(now, id, first).into_iter().collect();
-        if asks.is_empty() {
-            return asks;
+    ) -> Vec<GrantRequest> {
+        let mut requests: Vec<_> = self.due_request(now, id, first).into_iter().collect();
+        if requests.is_empty() {
+            return requests;
         }
         let others: Vec<_> = self
             .shares
@@ -346,37 +348,42 @@
             .cloned()
             .collect();
         for workspace in others {
-            if asks.len() == MAX_QUOTA_ENTRIES {
+            if requests.len() == MAX_QUOTA_ENTRIES {
                 break;
             }
             if self.fleet.owner(now, &workspace) == Some(owner) {
-                asks.extend(self.due_ask(now, id, &workspace));
+                requests.extend(self.due_request(now, id, &workspace));
             }
         }
-        asks
+        requests
     }
 
-    fn due_ask(&mut self, now: Timestamp, id: u32, workspace: &Arc<str>) -> Option<QuotaAsk> {
+    fn due_request(
+        &mut self,
+        now: Timestamp,
+        id: u32,
+        workspace: &Arc<str>,
+    ) -> Option<GrantRequest> {
         let waiting = self.waiting.get(workspace).copied().unwrap_or_default();
         let owner = self.fleet.owner(now, workspace)?;
         let pause = self.contacts.get(&owner).map(OwnerContact::pause);
         let lifetime = self.limits.grant_lifetime(pause.unwrap_or_default());
         let share = self.shares.get_mut(workspace)?;
-        let wanted = share.next_ask(now, waiting, lifetime)?;
-        share.record_ask(now, id, wanted);
-        Some(QuotaAsk {
+        let wanted = share.next_request(now, waiting, lifetime)?;
+        share.record_request(now, id, wanted);
+        Some(GrantRequest {
             workspace: Arc::clone(workspace),
             wanted,
         })
     }
 
-    /// Grants for asks, without those for workspaces that have no quota here.
-    fn grant_all(&mut self, now: Timestamp, asks: &[QuotaAsk]) -> Vec<QuotaGrant> {
-        let mut grants = Vec::with_capacity(asks.len());
-        for ask in asks {
-            if let Some(quota) = self.quotas.get(&ask.workspace) {
+    /// Grants for requests, without those for workspaces that have no quota here.
+    fn grant_all(&mut self, now: Timestamp, requests: &[GrantRequest]) -> Vec<QuotaGrant> {
+        let mut grants = Vec::with_capacity(requests.len());
+        for request in requests {
+            if let Some(quota) = self.quotas.get(&request.workspace) {
                 let division = self.limits.divide(quota);
-                grants.push(self.owner.grant(now, &mut self.fleet, &division, ask));
+                grants.push(self.owner.grant(now, &mut self.fleet, &division, request));
             }
         }
         grants
@@ -391,10 +398,8 @@
         }
     }
 
-    fn has_ask_token(&mut self, now: Timestamp) -> bool {
-        let added = now.since(self.ask_tokens_at).as_secs_f64() * MAX_ASKS_PER_SECOND;
-        self.ask_tokens = (self.ask_tokens + added).min(ASK_BURST);
-        self.ask_tokens_at = now;
-        self.ask_tokens >= 1.0
+    fn has_request_token(&mut self, now: Timestamp) -> bool {
+        let bucket = &mut self.request_bucket;
+        bucket.refill(now, MAX_REQUESTS_PER_SECOND, REQUEST_BURST) >= 1.0
     }
 }
--- a/crates/core/tests/forwarding/quotas.rs
+++ b/crates/core/tests/forwarding/quotas.rs
@@ -107,12 +107,15 @@
 }
 
 /// Number of the last ask that was sent, and what it wants.
-fn take_ask(harness: &mut Harness) -> Option<(u32, u32)> {
-    let asks = harness.take_quota_messages();
-    asks.into_iter().rev().find_map(|sent| match sent.message {
-        QuotaMessage::Ask { id, asks } => Some((id, asks[0].wanted)),
-        QuotaMessage::Reply { .. } => None,
-    })
+fn take_grant_request(harness: &mut Harness) -> Option<(u32, u32)> {
+    let requests = harness.take_quota_messages();
+    requests
+        .into_iter()
+        .rev()
+        .find_map(|sent| match sent.message {
+            QuotaMessage::Request { id, requests } => Some((id, requests[0].wanted)),
+            QuotaMessage::Reply { .. } => None,
+        })
 }
 
 fn reply(harness: &mut Harness, id: u32, tokens: u32) {
@@ -179,7 +182,7 @@
 fn request_waits_for_the_grant_of_the_owner() {
     let mut harness = harness_with_remote_owner();
     harness.send_request(keyed_request("/desk/a"));
-    let (id, wanted) = take_ask(&mut harness).expect("the owner is asked");
+    let (id, wanted) = take_grant_request(&mut harness).expect("the owner is asked");
     let sent_before = harness.take_sent().len();
 
     reply(&mut harness, id, 1);
@@ -192,7 +195,7 @@
 fn request_is_refused_when_the_owner_grants_nothing() {
     let mut harness = harness_with_remote_owner();
     harness.send_request(keyed_request("/desk/a"));
-    let (id, _) = take_ask(&mut harness).expect("the owner is asked");
+    let (id, _) = take_grant_request(&mut harness).expect("the owner is asked");
 
     reply(&mut harness, id, 0);
 
@@ -206,10 +209,10 @@
 fn wait_is_bounded_and_lost_messages_are_repeated() {
     let mut harness = harness_with_remote_owner();
     harness.send_request(keyed_request("/desk/a"));
-    let first = take_ask(&mut harness).expect("the owner is asked");
+    let first = take_grant_request(&mut harness).expect("the owner is asked");
 
     harness.advance(Duration::from_millis(60));
-    let second = take_ask(&mut harness).expect("the owner is asked again");
+    let second = take_grant_request(&mut harness).expect("the owner is asked again");
     harness.advance(Duration::from_millis(40));
 
     assert_ne!(first.0, second.0);
@@ -221,7 +224,7 @@
 fn copied_grant_counts_once() {
     let mut harness = harness_with_remote_owner();
     harness.send_request(keyed_request("/desk/a"));
-    let (id, _) = take_ask(&mut harness).expect("the owner is asked");
+    let (id, _) = take_grant_request(&mut harness).expect("the owner is asked");
 
     reply(&mut harness, id, 1);
     reply(&mut harness, id, 1);
@@ -236,7 +239,7 @@
     for interrupted in [false, true] {
         let mut harness = harness_with_remote_owner();
         harness.send_request(keyed_request("/desk/a"));
-        let (id, _) = take_ask(&mut harness).expect("the owner is asked");
+        let (id, _) = take_grant_request(&mut harness).expect("the owner is asked");
         reply(&mut harness, id, 5);
         harness.take_sent();
 
@@ -256,7 +259,7 @@
 fn waiting_request_of_a_lost_caller_is_forgotten() {
     let mut harness = harness_with_remote_owner();
     let caller = harness.send_request(keyed_request("/desk/a"));
-    let (id, _) = take_ask(&mut harness).expect("the owner is asked");
+    let (id, _) = take_grant_request(&mut harness).expect("the owner is asked");
 
     harness.handle(ForwardEvent::CallerGone(caller));
     reply(&mut harness, id, 1);
@@ -287,7 +290,7 @@
 
     for _ in 0..4 {
         harness.send_request(keyed_request("/split/a"));
-        let (id, wanted) = take_ask(&mut harness).expect("the owner is asked");
+        let (id, wanted) = take_grant_request(&mut harness).expect("the owner is asked");
         reply(&mut harness, id, wanted);
         harness.advance(Duration::from_secs(2));
     }
@@ -303,7 +306,7 @@
 fn a_request_that_waits_into_a_shutdown_is_refused_as_not_run() {
     let mut harness = harness_with_remote_owner();
     let caller = harness.send_request(keyed_request("/desk/a"));
-    let (id, wanted) = take_ask(&mut harness).expect("the owner is asked");
+    let (id, wanted) = take_grant_request(&mut harness).expect("the owner is asked");
 
     let schedule = ShutdownSchedule::new(harness.now, Duration::ZERO, Duration::from_millis(10));
     harness.handle(ForwardEvent::ShutdownBegan(schedule));
--- a/crates/core/tests/quotas/quota_sim.rs
+++ b/crates/core/tests/quotas/quota_sim.rs
@@ -1,7 +1,10 @@
 //! Simulation of a fleet of quota decisions and memberships that exchange messages over lossy links.
 
 use medlarpost_core::{prelude::*, quota_share::QuotaDecision};
-use std::{collections::BTreeSet, net::SocketAddr};
+use std::{
+    collections::BTreeSet,
+    net::{IpAddr, SocketAddr},
+};
 
 /// Time between two steps of the simulation.
 pub const STEP: Duration = Duration::from_millis(5);
@@ -104,6 +107,15 @@
     random: fastrand::Rng,
 }
 
+/// Number of the node with this [`address`].
+fn number_of(node: SocketAddr) -> usize {
+    let IpAddr::V4(ip) = node.ip() else {
+        panic!("nodes have addresses of IPv4");
+    };
+    let [_, _, hundreds, rest] = ip.octets();
+    usize::from(hundreds) * 200 + usize::from(rest) - 1
+}
+
 fn address(node: usize) -> SocketAddr {
     SocketAddr::from(([10, 0, (node / 200) as u8, (node % 200) as u8 + 1], 7_000))
 }
@@ -239,7 +251,7 @@
                 self.nodes[node].parked.push(parked);
             }
         }
-        self.ask(node, workspace);
+        self.request_grants(node, workspace);
         self.decide_parked(node);
     }
 
@@ -252,7 +264,8 @@
             self.send_heartbeats();
             arrivals(self);
             for node in 0..self.nodes.len() {
-                if self.nodes[node].pause.is_none() {
+                let is_waiting = !self.nodes[node].parked.is_empty();
+                if is_waiting && self.nodes[node].pause.is_none() {
                     self.retry_parked(node);
                 }
             }
@@ -315,10 +328,12 @@
         });
     }
 
-    fn ask(&mut self, node: usize, workspace: &Arc<str>) {
+    fn request_grants(&mut self, node: usize, workspace: &Arc<str>) {
         let time = self.nodes[node].time(self.now);
         let mut outgoing = Vec::new();
-        self.nodes[node].quotas.ask(time, workspace, &mut outgoing);
+        self.nodes[node]
+            .quotas
+            .request_grants(time, workspace, &mut outgoing);
         self.send_quota(node, outgoing);
     }
 
@@ -329,7 +344,7 @@
             .map(|parked| Arc::clone(&parked.workspace))
             .collect();
         for workspace in workspaces {
-            self.ask(node, &workspace);
+            self.request_grants(node, &workspace);
         }
         self.decide_parked(node);
     }
@@ -360,18 +375,13 @@
 
     fn send_quota(&mut self, from: usize, outgoing: Vec<OutgoingQuotaMessage>) {
         for outgoing in outgoing {
-            let number = self.number_of(outgoing.to);
+            let number = number_of(outgoing.to);
             let bytes = encoded_bytes(&outgoing.message);
             self.nodes[from].sent_bytes += bytes;
             self.send(from, number, Payload::Quota(outgoing.message));
         }
     }
 
-    fn number_of(&self, node: SocketAddr) -> usize {
-        let found = (0..self.nodes.len()).find(|number| address(*number) == node);
-        found.expect("messages go to nodes of the fleet")
-    }
-
     fn send(&mut self, from: usize, to: usize, payload: Payload) {
         let is_cut = self.nodes[from].part != self.nodes[to].part;
         if is_cut || self.random.f64() < self.links.loss {
@@ -398,7 +408,7 @@
             let sighting = node.membership.sighting(time);
             node.quotas.update_fleet(time, &sighting);
             for target in targets {
-                let to = self.number_of(target);
+                let to = number_of(target);
                 self.send(from, to, Payload::Heartbeat(heartbeat.clone()));
             }
         }
@@ -449,7 +459,10 @@
 /// Size of the datagram of a message, not less than what the codec makes of it.
 fn encoded_bytes(message: &QuotaMessage) -> usize {
     let entries: usize = match message {
-        QuotaMessage::Ask { asks, .. } => asks.iter().map(|ask| ask.workspace.len() + 10).sum(),
+        QuotaMessage::Request { requests, .. } => requests
+            .iter()
+            .map(|request| request.workspace.len() + 10)
+            .sum(),
         QuotaMessage::Reply { grants, .. } => {
             grants.iter().map(|grant| grant.workspace.len() + 16).sum()
         }
--- a/crates/core/tests/quotas/service.rs
+++ b/crates/core/tests/quotas/service.rs
@@ -91,7 +91,7 @@
     }
 }
 
-/// Guards against an owner that can't take the asks of a large workspace whose requests are spread evenly over many
+/// Guards against an owner that can't take the grant requests of a large workspace whose requests are spread evenly over many
 /// nodes.
 #[test]
 #[ignore = "fails, see KNOWN-RED.txt"]
--- a/crates/core/tests/quotas/traffic.rs
+++ b/crates/core/tests/quotas/traffic.rs
@@ -7,7 +7,7 @@
 /// control traffic.
 const MAX_BYTES_PER_SECOND: usize = 2_700;
 
-/// Guards against owners that are flooded by the asks of a fleet of the design size, with a few workspaces far over
+/// Guards against owners that are flooded by the grant requests of a fleet of the design size, with a few workspaces far over
 /// their quotas.
 #[test]
 fn quota_traffic_of_a_fleet_of_the_design_size_is_bounded() {
--- a/crates/node/src/boot_clock.rs
+++ b/crates/node/src/boot_clock.rs
@@ -17,12 +17,19 @@
     /// Current time.
     pub fn now(self) -> BootTime {
         let since_boot = match self {
-            // Neither part of this clock's time is negative.
-            Self::System => {
-                Duration::try_from(clock_gettime(ClockId::Boottime)).unwrap_or_default()
-            }
+            Self::System => read(ClockId::Boottime),
             Self::Runtime(origin) => origin.elapsed(),
         };
         BootTime::new(since_boot)
     }
 }
+
+/// Time for which the VM was suspended since it was started. The two clocks are not read at the same moment.
+pub(crate) fn time_suspended() -> Duration {
+    read(ClockId::Boottime).saturating_sub(read(ClockId::Monotonic))
+}
+
+fn read(clock: ClockId) -> Duration {
+    // Neither part of these clocks' times is negative.
+    Duration::try_from(clock_gettime(clock)).unwrap_or_default()
+}
--- a/crates/node/src/suspension_detector.rs
+++ b/crates/node/src/suspension_detector.rs
@@ -1,7 +1,6 @@
 //! Detects that the VM was suspended.
 
-use crate::prelude::*;
-use rustix::time::{ClockId, clock_gettime};
+use crate::{boot_clock::time_suspended, prelude::*};
 
 /// Suspension that is not reported: the two clocks are not read at the same moment.
 const MIN_SUSPENSION: Duration = Duration::from_millis(50);
@@ -31,12 +30,3 @@
         grew
     }
 }
-
-fn time_suspended() -> Duration {
-    read(ClockId::Boottime).saturating_sub(read(ClockId::Monotonic))
-}
-
-fn read(clock: ClockId) -> Duration {
-    let time = clock_gettime(clock);
-    Duration::try_from(time).unwrap_or_default()
-}
--- a/crates/wire/src/quota_codec.rs
+++ b/crates/wire/src/quota_codec.rs
@@ -14,11 +14,11 @@
 
 pub(crate) fn encode_quota_message(message: &QuotaMessage) -> gen_member::Quota {
     match message {
-        QuotaMessage::Ask { id, asks } => {
-            let asks = asks.iter().filter(|ask| is_name(&ask.workspace));
-            let asks = asks.map(|ask| gen_member::Ask {
-                workspace: ask.workspace.to_string(),
-                wanted: ask.wanted,
+        QuotaMessage::Request { id, requests } => {
+            let requests = requests.iter().filter(|req| is_name(&req.workspace));
+            let asks = requests.map(|req| gen_member::Ask {
+                workspace: req.workspace.to_string(),
+                wanted: req.wanted,
             });
             let asks = asks.collect();
             gen_member::Quota {
@@ -52,12 +52,12 @@
         Content::Asks(message) => {
             let asks = message.asks.into_iter().take(MAX_QUOTA_ENTRIES);
             let asks = asks.filter(|ask| is_name(&ask.workspace));
-            let asks = asks.map(|ask| QuotaAsk {
+            let requests = asks.map(|ask| GrantRequest {
                 workspace: ask.workspace.into(),
                 wanted: ask.wanted.min(MAX_GRANT),
             });
-            let asks = asks.collect();
-            Some(QuotaMessage::Ask { id, asks })
+            let requests = requests.collect();
+            Some(QuotaMessage::Request { id, requests })
         }
         Content::Grants(message) => {
             let grants = message.grants.into_iter().take(MAX_QUOTA_ENTRIES);
--- a/crates/wire/tests/member_heartbeat_codec.rs
+++ b/crates/wire/tests/member_heartbeat_codec.rs
@@ -56,8 +56,8 @@
     );
 }
 
-fn ask(workspace: &str) -> QuotaAsk {
-    QuotaAsk {
+fn grant_request(workspace: &str) -> GrantRequest {
+    GrantRequest {
         workspace: workspace.into(),
         wanted: 3,
     }
@@ -82,9 +82,9 @@
 #[test]
 fn quota_messages_round_trip() {
     let messages = [
-        QuotaMessage::Ask {
+        QuotaMessage::Request {
             id: 7,
-            asks: vec![ask("w-1"), ask("w-2")],
+            requests: vec![grant_request("w-1"), grant_request("w-2")],
         },
         QuotaMessage::Reply {
             id: 7,
@@ -109,23 +109,23 @@
         pause: Duration::from_secs(9),
         grants: vec![grant(&longest); MAX_QUOTA_ENTRIES],
     };
-    let asks = vec![ask("w"); MAX_QUOTA_ENTRIES + 1];
-    let too_long = vec![ask(&"w".repeat(201))];
+    let requests = vec![grant_request("w"); MAX_QUOTA_ENTRIES + 1];
+    let too_long = vec![grant_request(&"w".repeat(201))];
 
     let (bytes, _) = round_trip(largest);
-    let (_, too_many) = round_trip(QuotaMessage::Ask { id: 1, asks });
-    let (_, too_long) = round_trip(QuotaMessage::Ask {
+    let (_, too_many) = round_trip(QuotaMessage::Request { id: 1, requests });
+    let (_, too_long) = round_trip(QuotaMessage::Request {
         id: 1,
-        asks: too_long,
+        requests: too_long,
     });
 
-    let asks_in = |decoded| match decoded {
-        Some(MemberDatagram::Quota(QuotaMessage::Ask { asks, .. })) => asks.len(),
-        other => panic!("not asks: {other:?}"),
+    let requests_in = |decoded| match decoded {
+        Some(MemberDatagram::Quota(QuotaMessage::Request { requests, .. })) => requests.len(),
+        other => panic!("not requests: {other:?}"),
     };
     assert!(bytes <= MAX_DATAGRAM_BYTES, "{bytes}");
     assert_eq!(
-        (asks_in(too_many), asks_in(too_long)),
+        (requests_in(too_many), requests_in(too_long)),
         (MAX_QUOTA_ENTRIES, 0)
     );
 }
