Delegates ask the owner of a quota for many nodes

Change: an owner near half of that rate names delegates, the nodes that follow it in the workspace's order. They ask ahead for the demand of their nodes and hand on what the owner granted, with the time that it still lasts; the receiver counts this time from its own request, so that the arithmetic of the sum does not change. Nodes of an earlier version ignore the new fields and are passed over as delegates.

--- a/crates/core/src/quota_fleet.rs
+++ b/crates/core/src/quota_fleet.rs
@@ -136,6 +136,32 @@
         order.find(|node| *node == own || self.silent_for(now, *node) < silence * OWNER_SILENCES)
     }
 
+    /// Delegates of the owner of a workspace that this node may ask, the preferred one first. There are `count` of them:
+    /// the nodes that follow the owner in the workspace's order. None if this node is the owner or one of them.
+    pub fn delegates(
+        &mut self,
+        now: Timestamp,
+        workspace: &Arc<str>,
+        count: u32,
+    ) -> Vec<SocketAddr> {
+        let Some(own) = self.own.filter(|_| count > 0) else {
+            return Vec::new();
+        };
+        let silence = self.failure_timeout() * OWNER_SILENCES;
+        self.update_order(own, workspace);
+        let order = self.orders[workspace].iter().copied();
+        let heard = order.filter(|node| *node == own || self.silent_for(now, *node) < silence);
+        let heard: Vec<_> = heard.collect();
+        let count = count as usize;
+        let own_rank = heard.iter().position(|node| *node == own);
+        let Some(own_rank) = own_rank.filter(|rank| *rank > count) else {
+            return Vec::new();
+        };
+        let mut delegates = heard[1..=count].to_vec();
+        delegates.rotate_left(own_rank % count);
+        delegates
+    }
+
     /// Whether an address is that of this node.
     pub fn is_own(&self, node: SocketAddr) -> bool {
         self.own == Some(node)
--- a/crates/core/src/quota_message.rs
+++ b/crates/core/src/quota_message.rs
@@ -15,16 +15,22 @@
     Request {
         /// Number of the message, which the reply repeats.
         id: u32,
+        /// Whether the receiver is asked to hand on what the owner granted it.
+        to_delegate: bool,
+        /// Requests of other nodes that the sender has served as a delegate since its last message to this owner.
+        served: u32,
         /// One for each workspace.
         requests: Vec<GrantRequest>,
     },
-    /// The owner's reply.
+    /// The reply of the owner or of a delegate.
     Reply {
         /// Number of the message that this answers.
         id: u32,
         /// Time that the node should let pass before it asks this owner again, so that a large fleet does not flood
         /// it.
         pause: Duration,
+        /// Delegates of the owner, one of which the node should send its requests to. Zero if it should ask the owner.
+        delegates: u32,
         /// One for each workspace that the owner knows.
         grants: Vec<QuotaGrant>,
     },
@@ -50,4 +56,7 @@
     pub tokens: u32,
     /// Time after which one more request fits; zero if the node may ask for more at once.
     pub retry_after: Duration,
+    /// Time for which the requests may be used, counted from the moment at which they were asked for, if a delegate hands
+    /// them on. A grant of the owner itself lasts as the limits say.
+    pub lifetime: Option<Duration>,
 }
--- a/crates/core/src/quota_share.rs
+++ b/crates/core/src/quota_share.rs
@@ -21,12 +21,29 @@
 /// Least time between a reply that does not cover what was wanted and the next grant request.
 const MIN_REQUEST_INTERVAL: Duration = Duration::from_millis(50);
 
+/// The same for a node that serves others as a delegate. It tells them to wait, so that they don't ask meanwhile either.
+const DELEGATE_REQUEST_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Time for which a node counts as a delegate after it has served another one.
+const SERVING_TIME: Duration = Duration::from_secs(1);
+
+/// Share of the requests expected during the life of a grant that a delegate asks for ahead. What it holds is used in the
+/// order in which it came, so that with a larger stock the last of it would end unused.
+const DELEGATE_STOCK_SHARE: f64 = 0.6;
+
 /// Longest time until the next grant request. The owner's share may have grown meanwhile.
 const MAX_REQUEST_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Shortest retry time that a refused caller is given, which its header field can express.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(1);
 
+/// Least time for which a request can still be used that a delegate hands on: its reply has to arrive meanwhile.
+const MIN_HANDED_ON_TIME: Duration = Duration::from_millis(50);
+
+/// Share of a quota from which on a node asks the owner itself rather than a delegate. No more than a few nodes have so
+/// much of the demand.
+const DIRECT_SHARE: f64 = 0.125;
+
 /// Grant requests of which a late reply is still accepted.
 const MAX_OPEN_REQUESTS: usize = 4;
 
@@ -46,6 +63,8 @@
     demand_updated_at: Timestamp,
     /// Grant requests that may still be answered, oldest first.
     open_requests: VecDeque<OpenRequest>,
+    /// When this node last served another one as a delegate.
+    served_at: Option<Timestamp>,
     /// Time before which nothing is asked for.
     next_request_at: Timestamp,
     /// Time before which the quota is known to be used up.
@@ -59,6 +78,8 @@
     id: u32,
     requested_at: Timestamp,
     wanted: u32,
+    /// Whether a delegate was asked.
+    to_delegate: bool,
 }
 
 /// Decision about one request.
@@ -75,6 +96,18 @@
     },
 }
 
+/// What became of a reply to a grant request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum GrantOutcome {
+    /// It is a copy, or too late.
+    Ignored,
+    Applied,
+    /// The delegate had nothing to hand on.
+    Declined,
+    /// The node does not act as a delegate.
+    NoDelegate,
+}
+
 impl QuotaShare {
     pub(crate) fn new(now: Timestamp, division: QuotaDivision) -> Self {
         Self {
@@ -85,16 +118,17 @@
             demand: 0.0,
             demand_updated_at: now,
             open_requests: VecDeque::new(),
+            served_at: None,
             next_request_at: Timestamp::ZERO,
             exhausted_until: Timestamp::ZERO,
             replied_at: None,
         }
     }
 
-    /// Counts a request of a caller in the demand.
-    pub(crate) fn record_demand(&mut self, now: Timestamp) {
+    /// Counts requests of callers, here or at a node that this one serves as a delegate, in the demand.
+    pub(crate) fn record_demand(&mut self, now: Timestamp, requests: u32) {
         let time = DEMAND_TIME.as_secs_f64();
-        self.demand = self.current_demand(now) + 1.0 / time;
+        self.demand = self.current_demand(now) + f64::from(requests) / time;
         self.demand_updated_at = now;
     }
 
@@ -121,6 +155,32 @@
         is_left
     }
 
+    /// Takes up to `wanted` requests out of grants for another node. Returns how many, and the time that all of them may
+    /// still be used.
+    pub(crate) fn hand_on(&mut self, now: Timestamp, wanted: u32) -> (u32, Duration) {
+        self.served_at = Some(now);
+        let ends_too_soon = |(end, _): &(Timestamp, u32)| end.since(now) < MIN_HANDED_ON_TIME;
+        let first = self.grants.iter().position(|grant| !ends_too_soon(grant));
+        let Some((ends_at, left)) = first.and_then(|first| self.grants.get_mut(first)) else {
+            return (0, MIN_HANDED_ON_TIME);
+        };
+        let taken = wanted.min(*left);
+        let lifetime = ends_at.since(now);
+        *left -= taken;
+        self.grants.retain(|(_, left)| *left > 0);
+        (taken, lifetime)
+    }
+
+    /// Time until more can be granted, if the quota is known to be used up.
+    pub(crate) fn exhausted_for(&self, now: Timestamp) -> Duration {
+        self.exhausted_until.since(now)
+    }
+
+    /// Whether so much of the demand is here that the owner should be asked directly.
+    pub(crate) fn is_large(&self, now: Timestamp) -> bool {
+        self.current_demand(now) >= self.division.rate * DIRECT_SHARE
+    }
+
     /// Charges a request that is not refused whatever the quota says. The debt is bounded, so that such requests can't
     /// use up the quota of a long time to come.
     pub(crate) fn charge_unconditionally(&mut self) {
@@ -153,19 +213,24 @@
     /// Requests to ask for now, with `waiting` ones that a reply will decide; `None` if it is not the time to ask.
     ///
     /// Grants are asked for ahead of the requests that are expected during the life of one, so that a request rarely
-    /// has to wait.
+    /// has to wait. A delegate is asked for no more than is needed now: it asks ahead for many nodes together, of which
+    /// less is wasted.
     pub(crate) fn next_request(
         &mut self,
         now: Timestamp,
         waiting: u32,
         lifetime: Duration,
+        to_delegate: bool,
     ) -> Option<u32> {
         self.expire_requests(now, lifetime);
         if self.is_awaiting(now, REPLY_TIMEOUT) || now < self.next_request_at {
             return None;
         }
-        let expected = self.current_demand(now) * lifetime.as_secs_f64();
-        let expected = if expected < MIN_EXPECTED {
+        let mut expected = self.current_demand(now) * lifetime.as_secs_f64();
+        if self.is_delegate(now) {
+            expected *= DELEGATE_STOCK_SHARE;
+        }
+        let expected = if expected < MIN_EXPECTED || to_delegate {
             0.0
         } else {
             expected
@@ -186,12 +251,19 @@
     }
 
     /// Records that a grant request is sent.
-    pub(crate) fn record_request(&mut self, now: Timestamp, id: u32, wanted: u32) {
+    pub(crate) fn record_request(
+        &mut self,
+        now: Timestamp,
+        id: u32,
+        wanted: u32,
+        to_delegate: bool,
+    ) {
         let requested_at = now;
         self.open_requests.push_back(OpenRequest {
             id,
             requested_at,
             wanted,
+            to_delegate,
         });
         if self.open_requests.len() > MAX_OPEN_REQUESTS {
             self.open_requests.pop_front();
@@ -205,28 +277,56 @@
         id: u32,
         grant: &QuotaGrant,
         lifetime: Duration,
-    ) {
+    ) -> GrantOutcome {
         let position = self
             .open_requests
             .iter()
             .position(|request| request.id == id);
         let Some(request) = position.and_then(|i| self.open_requests.remove(i)) else {
-            return;
+            return GrantOutcome::Ignored;
         };
         self.open_requests.retain(|other| other.id > id);
-        self.replied_at = Some(now);
-        let ends_at = request.requested_at + lifetime;
         let wait = grant.retry_after;
+        if request.to_delegate && grant.tokens == 0 {
+            if grant.lifetime.is_none() {
+                return GrantOutcome::NoDelegate;
+            }
+            if wait.is_zero() {
+                return GrantOutcome::Declined;
+            }
+        }
+        self.replied_at = Some(now);
         if grant.tokens < request.wanted && !wait.is_zero() {
-            self.next_request_at = now + wait.clamp(MIN_REQUEST_INTERVAL, MAX_REQUEST_INTERVAL);
-            self.exhausted_until = now + wait.max(MIN_REQUEST_INTERVAL);
+            let least = self.min_request_interval(now);
+            self.next_request_at = now + wait.clamp(least, MAX_REQUEST_INTERVAL);
+            self.exhausted_until = now + wait.max(least);
         }
+        let lifetime = grant.lifetime.map_or(lifetime, |left| left.min(lifetime));
+        self.add(now, grant.tokens, request.requested_at + lifetime);
+        GrantOutcome::Applied
+    }
+
+    fn is_delegate(&self, now: Timestamp) -> bool {
+        self.served_at
+            .is_some_and(|at| now.since(at) < SERVING_TIME)
+    }
+
+    fn min_request_interval(&self, now: Timestamp) -> Duration {
+        if self.is_delegate(now) {
+            DELEGATE_REQUEST_INTERVAL
+        } else {
+            MIN_REQUEST_INTERVAL
+        }
+    }
+
+    /// Adds requests that may be admitted, less those that the debt takes.
+    fn add(&mut self, now: Timestamp, tokens: u32, ends_at: Timestamp) {
         if ends_at <= now {
             return;
         }
-        let repaid = self.debt.min(grant.tokens);
+        let repaid = self.debt.min(tokens);
         self.debt -= repaid;
-        let tokens = grant.tokens - repaid;
+        let tokens = tokens - repaid;
         if tokens > 0 {
             let later = |(at, _): &(Timestamp, u32)| *at > ends_at;
             let place = self.grants.iter().position(later);
--- a/crates/core/src/workspace_quotas.rs
+++ b/crates/core/src/workspace_quotas.rs
@@ -6,8 +6,8 @@
     quota_bucket::QuotaBucket,
     quota_fleet::QuotaFleet,
     quota_message::MAX_QUOTA_ENTRIES,
-    quota_owner::QuotaOwner,
-    quota_share::{QuotaDecision, QuotaShare},
+    quota_owner::{QuotaOwner, RequestKind},
+    quota_share::{GrantOutcome, QuotaDecision, QuotaShare},
 };
 use std::{collections::HashMap, net::SocketAddr};
 
@@ -20,6 +20,12 @@
 /// Longest time for which a request waits for the owner's reply. It covers one lost message.
 const MAX_WAIT: Duration = Duration::from_millis(90);
 
+/// Most delegates that a message may state.
+const MAX_DELEGATES: u32 = 64;
+
+/// Most requests of other nodes that a delegate parks; others are not answered and go elsewhere.
+const MAX_PARKED: usize = 64;
+
 /// Time without requests after which the share of a workspace is forgotten, in windows of the quota.
 const IDLE_WINDOWS: u32 = 4;
 
@@ -41,6 +47,8 @@
     waiting: HashMap<Arc<str>, u32>,
     /// Exchange with each node that was asked lately.
     contacts: HashMap<SocketAddr, OwnerContact>,
+    /// Requests of other nodes that wait for the owner, oldest first.
+    parked: Vec<ParkedRequest>,
     next_id: u32,
     /// Grant requests that this node may send.
     request_bucket: QuotaBucket,
@@ -56,6 +64,34 @@
     pub message: QuotaMessage,
 }
 
+/// A node that is asked for grants.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+struct GrantSource {
+    node: SocketAddr,
+    /// Whether it is this node, as the owner.
+    is_own: bool,
+    /// Whether it hands on grants of the owner.
+    is_delegate: bool,
+}
+
+/// Sender of a message that a delegate replies to.
+#[derive(Clone, Copy, Debug)]
+struct RequestSender {
+    from: SocketAddr,
+    /// Number of the message.
+    id: u32,
+    /// Pause that the reply states.
+    pause: Duration,
+    received_at: Timestamp,
+}
+
+/// A request of another node for which this delegate waits for its owner.
+#[derive(Clone, Debug)]
+struct ParkedRequest {
+    sender: RequestSender,
+    request: GrantRequest,
+}
+
 /// State of one workspace's share, for logs.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct QuotaShareStatus {
@@ -80,6 +116,7 @@
             shares: BTreeMap::new(),
             waiting: HashMap::new(),
             contacts: HashMap::new(),
+            parked: Vec::new(),
             next_id: 0,
             request_bucket: QuotaBucket::with_tokens(now, REQUEST_BURST),
             next_cleanup: now,
@@ -129,6 +166,7 @@
     pub fn handle_interruption(&mut self, now: Timestamp) {
         self.fleet.restart(now);
         self.owner.restart();
+        self.parked.clear();
         for share in self.shares.values_mut() {
             share.end_grants();
         }
@@ -144,7 +182,7 @@
         if !self.quotas.contains_key(workspace) {
             return QuotaDecision::Admitted;
         }
-        self.share(now, workspace).record_demand(now);
+        self.share(now, workspace).record_demand(now, 1);
         if self.try_take(now, workspace) {
             return QuotaDecision::Admitted;
         }
@@ -160,7 +198,7 @@
         if !self.quotas.contains_key(workspace) {
             return;
         }
-        self.share(now, workspace).record_demand(now);
+        self.share(now, workspace).record_demand(now, 1);
         if !self.try_take(now, workspace) {
             self.share(now, workspace).charge_unconditionally();
         }
@@ -206,35 +244,35 @@
         workspace: &Arc<str>,
         outgoing: &mut Vec<OutgoingQuotaMessage>,
     ) {
-        let Some(owner) = self.fleet.owner(now, workspace) else {
-            return;
-        };
         if self.fleet.size().is_none() {
             return;
         }
-        let is_own = self.fleet.is_own(owner);
-        let may_send = is_own || (self.accepts_requests(now, owner) && self.has_request_token(now));
-        if !may_send {
+        let Some(source) = self.source(now, workspace) else {
+            return;
+        };
+        if source.is_own {
+            return self.grant_to_itself(now, workspace);
+        }
+        if !self.has_request_token(now) {
             return;
         }
         let id = self.next_id;
-        let requests = if is_own {
-            self.due_request(now, id, workspace).into_iter().collect()
-        } else {
-            self.due_requests(now, id, owner, workspace)
-        };
+        let requests = self.due_requests(now, id, source, workspace);
         if requests.is_empty() {
             return;
         }
         self.next_id = id.wrapping_add(1);
-        if is_own {
-            let grants = self.grant_all(now, &requests);
-            return self.apply_grants(now, id, Duration::ZERO, &grants);
-        }
         self.request_bucket.take(1);
-        self.contacts.entry(owner).or_default().record_request(now);
-        let message = QuotaMessage::Request { id, requests };
-        outgoing.push(OutgoingQuotaMessage { to: owner, message });
+        let contact = self.contacts.entry(source.node).or_default();
+        contact.record_request(now);
+        let message = QuotaMessage::Request {
+            id,
+            to_delegate: source.is_delegate,
+            served: contact.take_served(),
+            requests,
+        };
+        let to = source.node;
+        outgoing.push(OutgoingQuotaMessage { to, message });
     }
 
     /// Handles a message of another node. Returns whether it may have decided waiting requests.
@@ -247,25 +285,59 @@
     ) -> bool {
         self.fleet.record_contact(now, from);
         match message {
-            QuotaMessage::Request { id, requests } => {
-                let pause = self
-                    .owner
-                    .record_request(now, from, &self.fleet, &self.limits);
-                let grants = self.grant_all(now, requests);
+            QuotaMessage::Request {
+                id,
+                to_delegate,
+                served,
+                requests,
+            } => {
+                let kind = if *to_delegate {
+                    RequestKind::ToDelegate
+                } else {
+                    RequestKind::ToOwner { served: *served }
+                };
+                let (fleet, limits) = (&self.fleet, &self.limits);
+                let pause = self.owner.record_request(now, from, kind, fleet, limits);
+                let delegates = self.delegates_to_state(now, *to_delegate, requests);
+                let sender = RequestSender {
+                    from,
+                    id: *id,
+                    pause,
+                    received_at: now,
+                };
+                let grants = if *to_delegate {
+                    self.hand_on_all(now, &sender, requests, outgoing)
+                } else {
+                    self.grant_all(now, requests)
+                };
+                if grants.is_empty() && *to_delegate {
+                    return false;
+                }
                 let message = QuotaMessage::Reply {
                     id: *id,
                     pause,
+                    delegates,
                     grants,
                 };
                 outgoing.push(OutgoingQuotaMessage { to: from, message });
                 false
             }
-            QuotaMessage::Reply { id, pause, grants } => {
+            QuotaMessage::Reply {
+                id,
+                pause,
+                delegates,
+                grants,
+            } => {
                 let Some(contact) = self.contacts.get_mut(&from) else {
                     return false;
                 };
                 contact.record_reply(now, *pause);
-                self.apply_grants(now, *id, *pause, grants);
+                self.record_delegates(now, *delegates, grants);
+                let declined = self.apply_grants(now, from, *id, *pause, grants);
+                for workspace in declined {
+                    self.request_grants(now, &workspace, outgoing);
+                }
+                self.serve_parked(now, outgoing);
                 true
             }
         }
@@ -288,16 +360,63 @@
     fn refusal_time(&mut self, now: Timestamp, workspace: &Arc<str>) -> Option<Duration> {
         // Other nodes answer the first heartbeat of a new one within milliseconds, so that it is worth waiting for.
         self.fleet.size()?;
-        let owner = self.fleet.owner(now, workspace);
-        let accepts_requests = owner.is_some_and(|owner| self.accepts_requests(now, owner));
+        let accepts_requests =
+            self.source(now, workspace).is_some() || self.has_delegate(now, workspace);
         let local_window = self.limits.local_window();
         self.share(now, workspace)
             .refusal_time(now, accepts_requests, local_window)
     }
 
-    fn accepts_requests(&self, now: Timestamp, owner: SocketAddr) -> bool {
-        let contact = self.contacts.get(&owner);
-        contact.is_none_or(|contact| contact.accepts_requests(now))
+    /// Node to ask for grants of a workspace now: a delegate, if its owner has some, or else the owner; `None` if neither
+    /// may be asked.
+    fn source(&mut self, now: Timestamp, workspace: &Arc<str>) -> Option<GrantSource> {
+        let owner = self.fleet.owner(now, workspace)?;
+        let is_own = self.fleet.is_own(owner);
+        let delegates = self.delegates(now, workspace);
+        let accepts = |node: &SocketAddr| self.contact(*node).accepts_as_delegate(now);
+        if let Some(node) = delegates.iter().copied().find(accepts) {
+            return Some(GrantSource {
+                node,
+                is_own: false,
+                is_delegate: true,
+            });
+        }
+        // If none of the delegates is lost, they are only busy, and the owner can't take what they can't.
+        let is_present = |node: &SocketAddr| self.contact(*node).is_present(now);
+        if !delegates.is_empty() && delegates.iter().all(is_present) {
+            return None;
+        }
+        let accepts_requests = is_own || self.contact(owner).accepts_requests(now);
+        accepts_requests.then_some(GrantSource {
+            node: owner,
+            is_own,
+            is_delegate: false,
+        })
+    }
+
+    /// Delegates that this node may ask for grants of a workspace, the preferred one first.
+    fn delegates(&mut self, now: Timestamp, workspace: &Arc<str>) -> Vec<SocketAddr> {
+        let Some(owner) = self.fleet.owner(now, workspace) else {
+            return Vec::new();
+        };
+        let share = self.shares.get(workspace);
+        if self.fleet.is_own(owner) || share.is_some_and(|share| share.is_large(now)) {
+            return Vec::new();
+        }
+        let count = self.contact(owner).delegates(now);
+        self.fleet.delegates(now, workspace, count)
+    }
+
+    /// Whether a delegate has something to hand on, now or in a moment.
+    fn has_delegate(&mut self, now: Timestamp, workspace: &Arc<str>) -> bool {
+        let delegates = self.delegates(now, workspace);
+        delegates
+            .into_iter()
+            .any(|node| self.contact(node).is_delegate(now))
+    }
+
+    fn contact(&self, node: SocketAddr) -> OwnerContact {
+        self.contacts.get(&node).copied().unwrap_or_default()
     }
 
     fn try_take(&mut self, now: Timestamp, workspace: &Arc<str>) -> bool {
@@ -329,30 +448,27 @@
             .retain(|_, contact| !contact.is_idle(now, idle_time));
     }
 
-    /// Grant requests that are due for all workspaces of one owner, `first` before the others.
+    /// Grant requests that are due for all workspaces for which one node is asked, `first` before the others.
     fn due_requests(
         &mut self,
         now: Timestamp,
         id: u32,
-        owner: SocketAddr,
+        source: GrantSource,
         first: &Arc<str>,
     ) -> Vec<GrantRequest> {
-        let mut requests: Vec<_> = self.due_request(now, id, first).into_iter().collect();
+        let due = self.due_request(now, id, source, first);
+        let mut requests: Vec<_> = due.into_iter().collect();
         if requests.is_empty() {
             return requests;
         }
-        let others: Vec<_> = self
-            .shares
-            .keys()
-            .filter(|w| *w != first)
-            .cloned()
-            .collect();
+        let others = self.shares.keys().filter(|w| *w != first);
+        let others: Vec<_> = others.cloned().collect();
         for workspace in others {
             if requests.len() == MAX_QUOTA_ENTRIES {
                 break;
             }
-            if self.fleet.owner(now, &workspace) == Some(owner) {
-                requests.extend(self.due_request(now, id, &workspace));
+            if self.source(now, &workspace) == Some(source) {
+                requests.extend(self.due_request(now, id, source, &workspace));
             }
         }
         requests
@@ -362,21 +478,39 @@
         &mut self,
         now: Timestamp,
         id: u32,
+        source: GrantSource,
         workspace: &Arc<str>,
     ) -> Option<GrantRequest> {
+        let parked = self.parked.iter().map(|parked| &parked.request);
+        let parked = parked.filter(|request| request.workspace == *workspace);
+        let parked: u32 = parked.map(|request| request.wanted).sum();
         let waiting = self.waiting.get(workspace).copied().unwrap_or_default();
-        let owner = self.fleet.owner(now, workspace)?;
-        let pause = self.contacts.get(&owner).map(OwnerContact::pause);
-        let lifetime = self.limits.grant_lifetime(pause.unwrap_or_default());
+        let waiting = waiting.saturating_add(parked);
+        let pause = self.contact(source.node).pause();
+        let lifetime = self.limits.grant_lifetime(pause);
         let share = self.shares.get_mut(workspace)?;
-        let wanted = share.next_request(now, waiting, lifetime)?;
-        share.record_request(now, id, wanted);
+        let wanted = share.next_request(now, waiting, lifetime, source.is_delegate)?;
+        share.record_request(now, id, wanted, source.is_delegate);
         Some(GrantRequest {
             workspace: Arc::clone(workspace),
             wanted,
         })
     }
 
+    /// Grants what this node needs of a workspace that it owns.
+    fn grant_to_itself(&mut self, now: Timestamp, workspace: &Arc<str>) {
+        let Some(own) = self.source(now, workspace) else {
+            return;
+        };
+        let id = self.next_id;
+        let Some(request) = self.due_request(now, id, own, workspace) else {
+            return;
+        };
+        self.next_id = id.wrapping_add(1);
+        let grants = self.grant_all(now, &[request]);
+        self.apply_grants(now, own.node, id, Duration::ZERO, &grants);
+    }
+
     /// Grants for requests, without those for workspaces that have no quota here.
     fn grant_all(&mut self, now: Timestamp, requests: &[GrantRequest]) -> Vec<QuotaGrant> {
         let mut grants = Vec::with_capacity(requests.len());
@@ -389,13 +523,133 @@
         grants
     }
 
-    fn apply_grants(&mut self, now: Timestamp, id: u32, pause: Duration, grants: &[QuotaGrant]) {
+    /// Hands on grants as a delegate, and asks the owners for more where little is left. Requests for which nothing is left
+    /// are parked until the owner replies.
+    fn hand_on_all(
+        &mut self,
+        now: Timestamp,
+        sender: &RequestSender,
+        requests: &[GrantRequest],
+        outgoing: &mut Vec<OutgoingQuotaMessage>,
+    ) -> Vec<QuotaGrant> {
+        let mut grants = Vec::with_capacity(requests.len());
+        for request in requests {
+            if self.fleet.may_grant(now, &request.workspace) {
+                grants.extend(self.grant_all(now, std::slice::from_ref(request)));
+            } else if self.has_quota(&request.workspace) {
+                if let Some(owner) = self.fleet.owner(now, &request.workspace) {
+                    self.contacts.entry(owner).or_default().count_served();
+                }
+                let share = self.share(now, &request.workspace);
+                share.record_demand(now, request.wanted);
+                match self.hand_on(now, request) {
+                    Some(grant) => grants.push(grant),
+                    None => self.park(*sender, request),
+                }
+                self.request_grants(now, &request.workspace, outgoing);
+            }
+        }
+        grants
+    }
+
+    /// What a delegate hands on for a request; `None` if it has nothing and more may come.
+    fn hand_on(&mut self, now: Timestamp, request: &GrantRequest) -> Option<QuotaGrant> {
+        let share = self.share(now, &request.workspace);
+        let (tokens, lifetime) = share.hand_on(now, request.wanted);
+        let retry_after = share.exhausted_for(now);
+        let is_decided = tokens > 0 || !retry_after.is_zero();
+        is_decided.then(|| QuotaGrant {
+            workspace: Arc::clone(&request.workspace),
+            tokens,
+            retry_after,
+            lifetime: Some(lifetime),
+        })
+    }
+
+    fn park(&mut self, sender: RequestSender, request: &GrantRequest) {
+        if self.parked.len() < MAX_PARKED {
+            let request = request.clone();
+            self.parked.push(ParkedRequest { sender, request });
+        }
+    }
+
+    /// Replies to parked requests that can be decided now, and drops those whose sender no longer waits.
+    fn serve_parked(&mut self, now: Timestamp, outgoing: &mut Vec<OutgoingQuotaMessage>) {
+        for parked in std::mem::take(&mut self.parked) {
+            let is_late = now.since(parked.sender.received_at) >= MAX_WAIT;
+            if is_late || !self.has_quota(&parked.request.workspace) {
+                continue;
+            }
+            let Some(grant) = self.hand_on(now, &parked.request) else {
+                self.parked.push(parked);
+                continue;
+            };
+            let delegates =
+                self.delegates_to_state(now, true, std::slice::from_ref(&parked.request));
+            let message = QuotaMessage::Reply {
+                id: parked.sender.id,
+                pause: parked.sender.pause,
+                delegates,
+                grants: vec![grant],
+            };
+            let to = parked.sender.from;
+            outgoing.push(OutgoingQuotaMessage { to, message });
+        }
+    }
+
+    /// Number of delegates to state in a reply: this node's own as an owner, or those of the owner that it is a delegate of.
+    fn delegates_to_state(
+        &mut self,
+        now: Timestamp,
+        is_delegate: bool,
+        requests: &[GrantRequest],
+    ) -> u32 {
+        let Some(request) = requests.first().filter(|_| is_delegate) else {
+            return self.owner.delegates(now, &self.fleet);
+        };
+        let owner = self.fleet.owner(now, &request.workspace);
+        match owner {
+            Some(owner) if !self.fleet.is_own(owner) => self.contact(owner).delegates(now),
+            _ => self.owner.delegates(now, &self.fleet),
+        }
+    }
+
+    /// Remembers how many delegates the owner of the workspaces in a reply has.
+    fn record_delegates(&mut self, now: Timestamp, delegates: u32, grants: &[QuotaGrant]) {
+        let Some(grant) = grants.first() else {
+            return;
+        };
+        if let Some(owner) = self.fleet.owner(now, &grant.workspace) {
+            let contact = self.contacts.entry(owner).or_default();
+            contact.set_delegates(now, delegates.min(MAX_DELEGATES));
+        }
+    }
+
+    /// Applies grants. Returns the workspaces of which a delegate had nothing to hand on.
+    fn apply_grants(
+        &mut self,
+        now: Timestamp,
+        from: SocketAddr,
+        id: u32,
+        pause: Duration,
+        grants: &[QuotaGrant],
+    ) -> Vec<Arc<str>> {
         let lifetime = self.limits.grant_lifetime(pause);
+        let mut declined = Vec::new();
         for grant in grants {
-            if let Some(share) = self.shares.get_mut(&grant.workspace) {
-                share.receive(now, id, grant, lifetime);
+            let Some(share) = self.shares.get_mut(&grant.workspace) else {
+                continue;
+            };
+            let outcome = share.receive(now, id, grant, lifetime);
+            let contact = self.contacts.entry(from).or_default();
+            match outcome {
+                GrantOutcome::Ignored | GrantOutcome::Applied => continue,
+                GrantOutcome::Declined => contact.record_decline(now),
+                GrantOutcome::NoDelegate => contact.record_inability(now),
             }
+            declined.push(Arc::clone(&grant.workspace));
         }
+        declined
     }
 
     fn has_request_token(&mut self, now: Timestamp) -> bool {
--- a/crates/core/tests/forwarding/quotas.rs
+++ b/crates/core/tests/forwarding/quotas.rs
@@ -113,7 +113,7 @@
         .into_iter()
         .rev()
         .find_map(|sent| match sent.message {
-            QuotaMessage::Request { id, requests } => Some((id, requests[0].wanted)),
+            QuotaMessage::Request { id, requests, .. } => Some((id, requests[0].wanted)),
             QuotaMessage::Reply { .. } => None,
         })
 }
@@ -123,12 +123,14 @@
         workspace: "w".into(),
         tokens,
         retry_after: Duration::from_millis(700),
+        lifetime: None,
     };
     harness.handle(ForwardEvent::QuotaMessageReceived {
         from: peer(),
         message: QuotaMessage::Reply {
             id,
             pause: Duration::ZERO,
+            delegates: 0,
             grants: vec![grant],
         },
     });
--- a/crates/core/tests/quotas/bounds.rs
+++ b/crates/core/tests/quotas/bounds.rs
@@ -9,6 +9,7 @@
 enum Fault {
     Restart(prop::sample::Index),
     RestartMany(u64),
+    RestartAll,
     Freeze(prop::sample::Index),
     Suspend(prop::sample::Index),
     ResumeAll,
@@ -24,6 +25,7 @@
     prop_oneof![
         2 => node().prop_map(Fault::Restart),
         1 => any::<u64>().prop_map(Fault::RestartMany),
+        1 => Just(Fault::RestartAll),
         2 => node().prop_map(Fault::Freeze),
         2 => node().prop_map(Fault::Suspend),
         3 => Just(Fault::ResumeAll),
@@ -57,6 +59,7 @@
                 sim.restart(node);
             }
         }
+        Fault::RestartAll => (0..size).for_each(|node| sim.restart(node)),
         Fault::Freeze(node) => sim.freeze(node.index(size)),
         Fault::Suspend(node) => sim.suspend(node.index(size)),
         Fault::ResumeAll => (0..size).for_each(|node| sim.resume(node)),
@@ -109,6 +112,40 @@
     }
 }
 
+proptest! {
+    #![proptest_config(config(12))]
+
+    /// Guards against requests that count twice because a delegate hands them on, with lost and late messages, stopped and
+    /// restarted delegates, two owners, and nodes of an earlier version.
+    #[test]
+    fn sum_stays_within_the_bound_with_delegates(
+        size in 20_usize..=60,
+        rate in 20.0..80.0,
+        burst in 0.0..40.0,
+        demand in 1.0..2.0,
+        earlier_version in 0.0..0.5,
+        max_delay_ms in 1_u64..150,
+        faults in prop::collection::vec((fault(), 500_u64..15_000), 1..5),
+        seed in any::<u64>(),
+    ) {
+        let quota = Quota { rate, burst };
+        let mut sim = QuotaSim::settled(size, vec![workspace("w", quota)], seed);
+        sim.links = Links { loss: 0.0, max_delay: Duration::from_millis(max_delay_ms) };
+        sim.earlier_version = chosen(size, seed, earlier_version);
+        sim.advance_with(LIMITS.window, |sim| overload(sim, &quota, demand, 0.0));
+
+        for (fault, millis) in &faults {
+            apply(&mut sim, fault);
+            sim.advance_with(Duration::from_millis(*millis), |sim| {
+                overload(sim, &quota, demand, 0.0);
+            });
+        }
+
+        let most = sim.busiest_window("w") as f64;
+        prop_assert!(most <= LIMITS.bound(&quota), "{most} of {}", LIMITS.bound(&quota));
+    }
+}
+
 /// Lets a fleet of 25 nodes, overloaded everywhere, pass through a disturbance. Returns the busiest window and the bound.
 fn busiest_window_with(
     size: usize,
--- a/crates/core/tests/quotas/quota_sim.rs
+++ b/crates/core/tests/quotas/quota_sim.rs
@@ -12,7 +12,7 @@
 const HEARTBEAT_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Bytes of the headers of a datagram, and of its fixed fields.
-const DATAGRAM_OVERHEAD: usize = 42;
+const DATAGRAM_OVERHEAD: usize = 46;
 
 pub const LIMITS: QuotaLimits = QuotaLimits {
     window: Duration::from_secs(5),
@@ -101,6 +101,10 @@
     pub runs: Vec<Run>,
     pub refused: Vec<Run>,
     pub retry_times: Vec<Duration>,
+    /// Requests that delegates handed on.
+    pub handed_on: u32,
+    /// Nodes of a version without delegates.
+    pub earlier_version: BTreeSet<usize>,
     nodes: Vec<Node>,
     packets: Vec<Packet>,
     workspaces: Vec<WorkspaceSettings>,
@@ -136,6 +140,8 @@
             runs: Vec::new(),
             refused: Vec::new(),
             retry_times: Vec::new(),
+            handed_on: 0,
+            earlier_version: BTreeSet::new(),
             nodes: Vec::new(),
             packets: Vec::new(),
             workspaces,
@@ -297,6 +303,7 @@
     pub fn reset_counts(&mut self) {
         self.runs.clear();
         self.refused.clear();
+        self.handed_on = 0;
         for node in &mut self.nodes {
             node.sent_bytes = 0;
         }
@@ -378,7 +385,18 @@
             let number = number_of(outgoing.to);
             let bytes = encoded_bytes(&outgoing.message);
             self.nodes[from].sent_bytes += bytes;
-            self.send(from, number, Payload::Quota(outgoing.message));
+            let message = self.as_known_to(from, outgoing.message);
+            self.handed_on += handed_on(&message);
+            self.send(from, number, Payload::Quota(message));
+        }
+    }
+
+    /// A message as the node reads or writes it, according to its version.
+    fn as_known_to(&self, node: usize, message: QuotaMessage) -> QuotaMessage {
+        if self.earlier_version.contains(&node) {
+            without_delegation(message)
+        } else {
+            message
         }
     }
 
@@ -436,9 +454,10 @@
                     }
                 }
                 Payload::Quota(message) => {
-                    let node = &mut self.nodes[packet.to];
                     let mut outgoing = Vec::new();
                     let from = address(packet.from);
+                    let message = self.as_known_to(packet.to, message);
+                    let node = &mut self.nodes[packet.to];
                     let decides = node.quotas.receive(time, from, &message, &mut outgoing);
                     self.send_quota(packet.to, outgoing);
                     if decides {
@@ -456,6 +475,34 @@
     }
 }
 
+/// The message as a node of an earlier version sends and reads it.
+fn without_delegation(mut message: QuotaMessage) -> QuotaMessage {
+    match &mut message {
+        QuotaMessage::Request {
+            to_delegate,
+            served,
+            ..
+        } => (*to_delegate, *served) = (false, 0),
+        QuotaMessage::Reply {
+            delegates, grants, ..
+        } => {
+            *delegates = 0;
+            for grant in grants {
+                grant.lifetime = None;
+            }
+        }
+    }
+    message
+}
+
+fn handed_on(message: &QuotaMessage) -> u32 {
+    let QuotaMessage::Reply { grants, .. } = message else {
+        return 0;
+    };
+    let handed_on = grants.iter().filter(|grant| grant.lifetime.is_some());
+    handed_on.map(|grant| grant.tokens).sum()
+}
+
 /// Size of the datagram of a message, not less than what the codec makes of it.
 fn encoded_bytes(message: &QuotaMessage) -> usize {
     let entries: usize = match message {
--- a/crates/core/tests/quotas/service.rs
+++ b/crates/core/tests/quotas/service.rs
@@ -84,6 +84,8 @@
         (25, 1.0, 20.0),
         (25, 3.0, 20.0),
         (70, 2.0, 60.0),
+        (25, 1.0, 200.0),
+        (118, 1.0, 60.0),
     ] {
         let refused = refused_within_quota(size, skew, rate);
 
@@ -94,7 +96,6 @@
 /// Guards against an owner that can't take the grant requests of a large workspace whose requests are spread evenly over many
 /// nodes.
 #[test]
-#[ignore = "fails, see KNOWN-RED.txt"]
 fn large_demand_over_many_nodes_is_not_refused() {
     let refused = [(25, 1.0, 80.0), (70, 1.0, 60.0)]
         .map(|(size, skew, rate)| refused_within_quota(size, skew, rate));
@@ -203,3 +204,26 @@
 
     assert_eq!(sim.refused.len(), 0, "of {}", sim.runs.len());
 }
+
+/// Guards against a fleet of two versions in which nodes wait for delegates that don't know of it.
+#[test]
+fn delegates_of_an_earlier_version_are_passed_over() {
+    const SIZE: usize = 25;
+    let quota = Quota {
+        rate: 128.0,
+        burst: 10.0,
+    };
+    let mut sim = QuotaSim::settled(SIZE, vec![workspace("w", quota)], 3);
+    let owner = sim.owners(&name())[0];
+    sim.earlier_version = (0..SIZE)
+        .filter(|node| *node != owner && node % 4 == 0)
+        .collect();
+
+    sim.advance_with(RUN, |sim| {
+        send_poisson(sim, 80.0, |random| random.usize(..SIZE));
+    });
+
+    let refused = sim.refused.len() as f64 / (sim.runs.len() + sim.refused.len()) as f64;
+    assert!(sim.handed_on > 0);
+    assert!(refused < 0.001, "{refused}");
+}
--- a/crates/wire/src/gen/medlarpost.member.rs
+++ b/crates/wire/src/gen/medlarpost.member.rs
@@ -93,10 +93,10 @@
     /// A message of another kind is ignored.
     #[derive(Clone, PartialEq, ::prost::Oneof)]
     pub enum Content {
-        /// From a node to the owner of workspaces.
+        /// From a node to the owner of workspaces or to a delegate of it.
         #[prost(message, tag = "2")]
         Asks(super::Asks),
-        /// The owner's reply.
+        /// The reply of either.
         #[prost(message, tag = "3")]
         Grants(super::Grants),
     }
@@ -107,6 +107,12 @@
     /// One for each workspace; at most 16.
     #[prost(message, repeated, tag = "1")]
     pub asks: ::prost::alloc::vec::Vec<Ask>,
+    /// Whether the receiver is asked to hand on what the owner granted it.
+    #[prost(bool, tag = "2")]
+    pub to_delegate: bool,
+    /// Requests of other nodes that the sender has served as a delegate since its last message to the receiver.
+    #[prost(uint32, tag = "3")]
+    pub served: u32,
 }
 /// Demand for requests of one workspace.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -127,6 +133,9 @@
     /// One for each workspace that the owner knows; at most 16.
     #[prost(message, repeated, tag = "2")]
     pub grants: ::prost::alloc::vec::Vec<Grant>,
+    /// Nodes after the owner in the order of the workspace, one of which should be asked rather than the owner; 0 for none.
+    #[prost(uint32, tag = "3")]
+    pub delegates: u32,
 }
 /// Requests of one workspace that a node may admit soon.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -140,6 +149,9 @@
     /// Milliseconds after which one more request fits; 0 if the node may ask at once.
     #[prost(uint32, tag = "3")]
     pub retry_after_ms: u32,
+    /// Milliseconds for which the requests may be used, counted from the ask; set by a delegate only.
+    #[prost(uint32, tag = "4")]
+    pub lifetime_ms: u32,
 }
 /// Something that an upstream said of itself in a reply.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -21,6 +21,7 @@
 
 mod quota_codec;
 
+#[expect(clippy::struct_field_names, reason = "names of the protocol")]
 mod generated_member {
     // Included instead of declared as a module file, so that rustfmt leaves the generated code unchanged.
     include!("gen/medlarpost.member.rs");
--- a/crates/wire/src/quota_codec.rs
+++ b/crates/wire/src/quota_codec.rs
@@ -14,7 +14,12 @@
 
 pub(crate) fn encode_quota_message(message: &QuotaMessage) -> gen_member::Quota {
     match message {
-        QuotaMessage::Request { id, requests } => {
+        QuotaMessage::Request {
+            id,
+            to_delegate,
+            served,
+            requests,
+        } => {
             let requests = requests.iter().filter(|req| is_name(&req.workspace));
             let asks = requests.map(|req| gen_member::Ask {
                 workspace: req.workspace.to_string(),
@@ -23,19 +28,30 @@
             let asks = asks.collect();
             gen_member::Quota {
                 id: *id,
-                content: Some(Content::Asks(gen_member::Asks { asks })),
+                content: Some(Content::Asks(gen_member::Asks {
+                    asks,
+                    to_delegate: *to_delegate,
+                    served: *served,
+                })),
             }
         }
-        QuotaMessage::Reply { id, pause, grants } => {
+        QuotaMessage::Reply {
+            id,
+            pause,
+            delegates,
+            grants,
+        } => {
             let grants = grants.iter().filter(|grant| is_name(&grant.workspace));
             let grants = grants.map(|grant| gen_member::Grant {
                 workspace: grant.workspace.to_string(),
                 tokens: grant.tokens,
                 retry_after_ms: encode_time(grant.retry_after),
+                lifetime_ms: grant.lifetime.map_or(0, encode_lifetime),
             });
             let grants = gen_member::Grants {
                 pause_ms: encode_time(*pause),
                 grants: grants.collect(),
+                delegates: *delegates,
             };
             gen_member::Quota {
                 id: *id,
@@ -57,7 +73,12 @@
                 wanted: ask.wanted.min(MAX_GRANT),
             });
             let requests = requests.collect();
-            Some(QuotaMessage::Request { id, requests })
+            Some(QuotaMessage::Request {
+                id,
+                to_delegate: message.to_delegate,
+                served: message.served,
+                requests,
+            })
         }
         Content::Grants(message) => {
             let grants = message.grants.into_iter().take(MAX_QUOTA_ENTRIES);
@@ -66,10 +87,12 @@
                 workspace: grant.workspace.into(),
                 tokens: grant.tokens.min(MAX_GRANT),
                 retry_after: decode_time(grant.retry_after_ms),
+                lifetime: (grant.lifetime_ms > 0).then(|| decode_time(grant.lifetime_ms)),
             });
             Some(QuotaMessage::Reply {
                 id,
                 pause: decode_time(message.pause_ms),
+                delegates: message.delegates,
                 grants: grants.collect(),
             })
         }
@@ -86,6 +109,12 @@
     u32::try_from(millis).unwrap_or(u32::MAX)
 }
 
+/// Whole milliseconds, rounded down so that a grant does not last longer; at least one, because zero means none.
+fn encode_lifetime(lifetime: Duration) -> u32 {
+    let millis = lifetime.min(MAX_TIME).as_millis();
+    u32::try_from(millis).unwrap_or(u32::MAX).max(1)
+}
+
 fn decode_time(millis: u32) -> Duration {
     Duration::from_millis(millis.into()).min(MAX_TIME)
 }
--- a/crates/wire/tests/member_heartbeat_codec.rs
+++ b/crates/wire/tests/member_heartbeat_codec.rs
@@ -68,6 +68,16 @@
         workspace: workspace.into(),
         tokens: 2,
         retry_after: Duration::from_millis(250),
+        lifetime: Some(Duration::from_millis(310)),
+    }
+}
+
+fn direct_request(requests: Vec<GrantRequest>) -> QuotaMessage {
+    QuotaMessage::Request {
+        id: 1,
+        to_delegate: false,
+        served: 0,
+        requests,
     }
 }
 
@@ -84,11 +94,14 @@
     let messages = [
         QuotaMessage::Request {
             id: 7,
+            to_delegate: true,
+            served: 5,
             requests: vec![grant_request("w-1"), grant_request("w-2")],
         },
         QuotaMessage::Reply {
             id: 7,
             pause: Duration::from_millis(900),
+            delegates: 4,
             grants: vec![grant("w-1")],
         },
     ];
@@ -107,17 +120,15 @@
     let largest = QuotaMessage::Reply {
         id: u32::MAX,
         pause: Duration::from_secs(9),
+        delegates: u32::MAX,
         grants: vec![grant(&longest); MAX_QUOTA_ENTRIES],
     };
     let requests = vec![grant_request("w"); MAX_QUOTA_ENTRIES + 1];
     let too_long = vec![grant_request(&"w".repeat(201))];
 
     let (bytes, _) = round_trip(largest);
-    let (_, too_many) = round_trip(QuotaMessage::Request { id: 1, requests });
-    let (_, too_long) = round_trip(QuotaMessage::Request {
-        id: 1,
-        requests: too_long,
-    });
+    let (_, too_many) = round_trip(direct_request(requests));
+    let (_, too_long) = round_trip(direct_request(too_long));
 
     let requests_in = |decoded| match decoded {
         Some(MemberDatagram::Quota(QuotaMessage::Request { requests, .. })) => requests.len(),
