An owner that is starting does not keep the share it has heard so far

Cause: an owner grants the least share of the fleet that it heard within the last silence limit. After a start of all nodes the first reports show a part of the members, and this part counted for up to 30 s.

Change: nothing counts until the node's share has grown for the first time. Interruptions are handled as before.

--- a/crates/core/src/quota_fleet.rs
+++ b/crates/core/src/quota_fleet.rs
@@ -35,6 +35,8 @@
     /// Start of the process, or the end of the last interruption.
     started_at: Timestamp,
     updated_at: Timestamp,
+    /// Whether the process has started and its share has not reached the whole yet.
+    is_discovering: bool,
     /// When a new member last appeared.
     last_join_at: Timestamp,
     /// Time after its start until which new members reduce this node's share.
@@ -68,6 +70,7 @@
             own: None,
             started_at: now,
             updated_at: now,
+            is_discovering: true,
             last_join_at: now,
             starting_time,
             members: BTreeMap::new(),
@@ -242,6 +245,11 @@
         let Some(size) = self.size else {
             return;
         };
+        // A share that was heard while the members are only being discovered would count for a whole silence limit.
+        if self.is_discovering && self.startup_share(now) < 1.0 {
+            return;
+        }
+        self.is_discovering = false;
         let silence = self.failure_timeout();
         let heard = self.members.values().filter(|at| now.since(**at) < silence);
         let share = (heard.count() + 1) as f64 / f64::from(size);
--- a/crates/core/tests/quotas/service.rs
+++ b/crates/core/tests/quotas/service.rs
@@ -227,3 +227,38 @@
     assert!(sim.handed_on > 0);
     assert!(refused < 0.001, "{refused}");
 }
+
+/// Share of the requests that are refused from three seconds after the start of all nodes on.
+fn refused_after_start(size: usize) -> f64 {
+    let quota = Quota {
+        rate: 96.0,
+        burst: 10.0,
+    };
+    let mut sim = QuotaSim::started(size, vec![workspace("w", quota)], 3);
+    let send = |sim: &mut QuotaSim| {
+        send_poisson(sim, 60.0, |random| random.usize(..size));
+    };
+    sim.advance_with(Duration::from_secs(3), send);
+    sim.reset_counts();
+    sim.advance_with(Duration::from_secs(20), send);
+    sim.refused.len() as f64 / (sim.runs.len() + sim.refused.len()) as f64
+}
+
+/// Guards against an owner that takes the part of the fleet it has found so far for a share that lasts.
+#[test]
+fn quotas_are_served_three_seconds_after_the_start_of_all_nodes() {
+    for size in [25, 100] {
+        let refused = refused_after_start(size);
+
+        assert!(refused < 0.001, "{size} nodes: {refused}");
+    }
+}
+
+/// The same at the size at which the nodes need more than three seconds to find each other.
+#[test]
+#[ignore = "fails, see KNOWN-RED.txt"]
+fn quotas_of_a_large_fleet_are_served_three_seconds_after_its_start() {
+    let refused = refused_after_start(300);
+
+    assert!(refused < 0.001, "{refused}");
+}
