Judge extra attempts by what they gain

Hedges were charged to the budget of extra attempts first come, first served. During a disturbance it ran out on hedges whose replies came after the answer. `attempt_gain` now decides before the budget is charged: a hedge of a gathered answer that the load reports show to be late is not sent, one of a plain request only while 40% of the budget remains; retries and hedges that an answer needs may use all of it, urgent requests more than others, trials least. Upstreams without load reports are not judged by time. The limits of the sums are the same.

--- a/crates/core/src/forward_admission.rs
+++ b/crates/core/src/forward_admission.rs
@@ -23,7 +23,7 @@
 const MAX_QUEUE_SHARES: (f64, f64) = (1.0, 0.7);
 
 /// Rank up to which a route is urgent, so that its requests are refused last.
-const MAX_URGENT_RANK: u32 = 1;
+pub(crate) const MAX_URGENT_RANK: u32 = 1;
 
 /// A request that awaits admission.
 #[derive(Clone, Debug)]
@@ -43,6 +43,8 @@
     pub(crate) identity: CallerIdentity,
     pub(crate) shards: Vec<ShardAttempts>,
     pub(crate) deadline: AnswerDeadline,
+    /// Rank under overload.
+    pub(crate) rank: u32,
 }
 
 /// Why a request is refused before anything is sent.
@@ -167,6 +169,7 @@
             identity,
             shards,
             deadline,
+            rank,
         })
     }
 
@@ -215,6 +218,7 @@
             started_at: admission.arrived_at,
             accept_partial_at: admission.arrived_at + objective,
             deadline: admission.deadline,
+            rank: admission.rank,
             accepts_partial: false,
             shards: admission.shards,
             merge: new_merge(route),
--- a/crates/core/src/forward_command.rs
+++ b/crates/core/src/forward_command.rs
@@ -80,6 +80,8 @@
         instance: Arc<str>,
         /// `hedge`, `retry` or `trial`.
         cause: &'static str,
+        /// What it adds to the answer.
+        gain: AttemptGain,
         /// Extra requests left in the service's budget.
         budget_left: f64,
         /// Expected time to its reply.
@@ -87,6 +89,15 @@
         /// Age of the upstream's load report; `None` if it has sent none.
         report_age: Option<Duration>,
     },
+    /// A hedge was not sent.
+    HedgeDenied {
+        /// Id of the caller's request.
+        request: Arc<str>,
+        /// Service of the shard whose reply is late.
+        service: Arc<str>,
+        /// Why it was not sent.
+        denial: SendDenial,
+    },
     /// A request was refused because the queues of the upstreams would make its answer late.
     RefusedOverloaded {
         /// Id of the caller's request.
--- a/crates/core/src/forward_flow.rs
+++ b/crates/core/src/forward_flow.rs
@@ -17,6 +17,8 @@
     /// When a partial answer is preferred to a complete one that would miss the latency objective.
     pub(crate) accept_partial_at: Timestamp,
     pub(crate) deadline: AnswerDeadline,
+    /// Rank under overload.
+    pub(crate) rank: u32,
     /// Whether `accept_partial_at` has passed and sufficient coverage completes the request.
     pub(crate) accepts_partial: bool,
     pub(crate) shards: Vec<ShardAttempts>,
@@ -95,6 +97,29 @@
         shards > 0 && shards >= self.route().needed_shards()
     }
 
+    /// Shards that are expected to answer without a further attempt for `shard`: those that have answered, and those whose
+    /// attempts are not late or have been hedged.
+    pub(crate) fn expected_shards(&self, now: Timestamp, shard: usize) -> usize {
+        let expected = |(index, other): &(usize, &ShardAttempts)| match other.status {
+            ShardStatus::Answered => true,
+            ShardStatus::GivenUp => false,
+            ShardStatus::Pending => {
+                *index != shard
+                    && (other.hedge_at.is_some_and(|at| at > now) || other.running.len() > 1)
+            }
+        };
+        self.shards.iter().enumerate().filter(expected).count()
+    }
+
+    /// Time left to the latency objective, or to the deadline if the objective has passed.
+    pub(crate) fn time_left(&self, now: Timestamp) -> Duration {
+        if now < self.accept_partial_at {
+            self.accept_partial_at.since(now)
+        } else {
+            self.deadline.at().since(now)
+        }
+    }
+
     /// Next time at which a hedge, the objective or the deadline is due.
     pub(crate) fn next_due(&self) -> Timestamp {
         let completion_due = if self.accepts_partial || self.merge.is_none() {
--- a/crates/core/src/forward_placement.rs
+++ b/crates/core/src/forward_placement.rs
@@ -17,8 +17,10 @@
     pub(crate) upstream: UpstreamKey,
     /// Whether the attempt is the trial of a suspect.
     pub(crate) is_trial: bool,
-    /// Expected time to the reply.
+    /// Expected time to the reply, with the cost of a likely failure.
     pub(crate) expected: Duration,
+    /// Expected time to the reply alone.
+    pub(crate) reply_time: Duration,
     /// Age of the load report; `None` if the upstream has sent none.
     pub(crate) report_age: Option<Duration>,
 }
@@ -50,10 +52,13 @@
             .or_else(|| self.due_suspect(now, flow, shard))
             .ok_or(SendDenial::NoUpstream)?;
         let replica = &self.replicas[upstream];
+        let expected = replica.expected_reply(now, times);
+        let failure_cost = replica.failure_cost(now, times);
         Ok(Placement {
             upstream,
             is_trial: chosen.is_none(),
-            expected: replica.expected_reply(now, times),
+            expected,
+            reply_time: expected.saturating_sub(failure_cost),
             report_age: replica.report_age(now),
         })
     }
--- a/crates/core/src/forward_sends.rs
+++ b/crates/core/src/forward_sends.rs
@@ -1,6 +1,8 @@
 //! Sending of attempts, and completion of requests.
 
 use crate::{
+    attempt_gain::ExtraAttempt,
+    forward_admission::MAX_URGENT_RANK,
     forward_chart::{FlowEvent, FlowState},
     forward_placement::Placement,
     forwarder::ForwardAttempt,
@@ -8,9 +10,6 @@
     reply_times::ReplyTimes,
 };
 
-/// Share of the extra load that hedges and trials leave for retries.
-const HEDGE_RESERVE_SHARE: f64 = 0.15;
-
 /// Time left before the deadline below which no attempt is sent.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(2);
 
@@ -42,6 +41,14 @@
     }
 }
 
+/// An extra attempt that the budget allows.
+#[derive(Clone, Copy, Debug)]
+struct GrantedExtra {
+    gain: AttemptGain,
+    /// Extra requests left in the budget afterwards.
+    budget_left: f64,
+}
+
 impl Forwarder {
     pub(crate) fn start_shard(
         &mut self,
@@ -76,8 +83,8 @@
         let placement = self.choose_replica(now, flow, shard, &times, cause)?;
         if cause.is_extra() {
             let service = self.flows[flow].shards[shard].service;
-            let budget_left = self.spend_extra(now, service, cause)?;
-            let attempt = self.extra_attempt(flow, service, placement, cause, budget_left);
+            let granted = self.spend_extra(now, (flow, shard), placement, cause)?;
+            let attempt = self.extra_attempt(flow, service, placement, cause, granted);
             commands.push(ForwardCommand::Record(attempt));
         }
         let attempt = self.attempts.insert(ForwardAttempt {
@@ -117,23 +124,37 @@
         times
     }
 
-    /// Takes one extra request out of a service's budget. Returns what is left.
+    /// Takes one extra request out of a service's budget, unless what is left must remain for attempts that gain
+    /// more.
     fn spend_extra(
         &mut self,
         now: Timestamp,
-        service: ServiceKey,
+        (flow, shard): (FlowKey, usize),
+        placement: Placement,
         cause: SendCause,
-    ) -> Result<f64, SendDenial> {
-        let limits = self.extra_load_limits();
-        let extra = &mut self.services[service].extra;
-        let reserve = match cause {
-            SendCause::Hedge | SendCause::Trial => extra.allowance(&limits) * HEDGE_RESERVE_SHARE,
-            SendCause::Primary | SendCause::Resend | SendCause::Retry => 0.0,
+    ) -> Result<GrantedExtra, SendDenial> {
+        let flow = &self.flows[flow];
+        let attempts = &flow.shards[shard];
+        let attempt = ExtraAttempt {
+            cause,
+            is_urgent: flow.rank <= MAX_URGENT_RANK,
+            expected_shards: flow.expected_shards(now, shard),
+            needed_shards: flow.merge.is_some().then(|| flow.route().needed_shards()),
+            time_left: flow.time_left(now),
+            reply_time: placement.reply_time,
+            is_reported: placement.report_age.is_some(),
         };
+        let gain = attempt.gain()?;
+        let limits = self.extra_load_limits();
+        let extra = &mut self.services[attempts.service].extra;
+        let reserve = extra.allowance(&limits) * gain.reserve_share();
         if !extra.try_spend(now, &limits, reserve) {
             return Err(SendDenial::BudgetExhausted);
         }
-        Ok(extra.remaining(now, &limits))
+        Ok(GrantedExtra {
+            gain,
+            budget_left: extra.remaining(now, &limits),
+        })
     }
 
     fn extra_attempt(
@@ -142,14 +163,15 @@
         service: ServiceKey,
         placement: Placement,
         cause: SendCause,
-        budget_left: f64,
+        granted: GrantedExtra,
     ) -> ForwardTelemetry {
         ForwardTelemetry::ExtraAttempt {
             request: Arc::clone(&self.flows[flow].request.id),
             service: Arc::clone(&self.services[service].name),
             instance: Arc::clone(&self.replicas[placement.upstream].entry.instance),
             cause: cause.name(),
-            budget_left,
+            gain: granted.gain,
+            budget_left: granted.budget_left,
             expected: placement.expected,
             report_age: placement.report_age,
         }
--- a/crates/core/src/forward_timers.rs
+++ b/crates/core/src/forward_timers.rs
@@ -47,7 +47,22 @@
         for shard in due {
             self.flows[key].shards[shard].hedge_at = None;
             // Without a hedge, the late attempt may still succeed.
-            let _unhedged = self.send_attempt(now, key, shard, SendCause::Hedge, commands);
+            let sent = self.send_attempt(now, key, shard, SendCause::Hedge, commands);
+            if let Err(denial) = sent {
+                commands.push(ForwardCommand::Record(
+                    self.denied_hedge(key, shard, denial),
+                ));
+            }
+        }
+    }
+
+    fn denied_hedge(&self, key: FlowKey, shard: usize, denial: SendDenial) -> ForwardTelemetry {
+        let flow = &self.flows[key];
+        let service = flow.shards[shard].service;
+        ForwardTelemetry::HedgeDenied {
+            request: Arc::clone(&flow.request.id),
+            service: Arc::clone(&self.services[service].name),
+            denial,
         }
     }
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod admission;
 pub mod answer;
 pub mod answer_deadline;
+pub mod attempt_gain;
 pub mod boot_time;
 pub mod bundle;
 pub mod bundle_check;
--- a/crates/core/src/prelude.rs
+++ b/crates/core/src/prelude.rs
@@ -3,6 +3,7 @@
 pub use crate::{
     answer::{Answer, Coverage, Hit, MissingReason, MissingShard},
     answer_deadline::AnswerDeadline,
+    attempt_gain::AttemptGain,
     boot_time::BootTime,
     bundle::{
         Bundle, DeploymentLimits, LateShardPreference, LoadPolicy, Service, ServiceKind,
--- a/crates/core/src/replica.rs
+++ b/crates/core/src/replica.rs
@@ -332,6 +332,11 @@
         duration_from_secs(secs)
     }
 
+    /// Cost of its likely failure, as contained in the expected time.
+    pub(crate) fn failure_cost(&self, now: Timestamp, times: &ReplyTimes) -> Duration {
+        duration_from_secs(self.failure_cost_secs(now, times))
+    }
+
     /// Age of its latest load report.
     pub(crate) fn report_age(&self, now: Timestamp) -> Option<Duration> {
         self.load.latest().map(|(at, _)| now.since(at))
--- /dev/null
+++ b/crates/core/tests/extra_attempts/main.rs
@@ -0,0 +1,8 @@
+//! Simulated fleet whose upstreams are disturbed while urgent and latency-tolerant requests, gathered and plain, share
+//! the budgets of extra attempts. Measured without a network.
+
+mod figures;
+mod fleet;
+mod goals;
+#[path = "../placement/upstream_model.rs"]
+mod upstream_model;
--- a/crates/core/tests/forwarding/main.rs
+++ b/crates/core/tests/forwarding/main.rs
@@ -4,6 +4,7 @@
 mod crash_requests;
 mod decisions;
 mod dry_runs;
+mod extra_attempts;
 mod forward_harness;
 mod give_ups;
 mod identification;
--- a/crates/node/src/forward_metrics.rs
+++ b/crates/node/src/forward_metrics.rs
@@ -21,6 +21,7 @@
     report_age_seconds: Histogram,
     attempts: IntCounterVec,
     extra_attempts: IntCounterVec,
+    denied_hedges: IntCounterVec,
     given_up: IntCounterVec,
     upstream_changes: IntCounterVec,
     notices: IntCounterVec,
@@ -94,6 +95,11 @@
                 "Attempts beyond the first one of a shard, by cause",
                 "cause",
             )?,
+            denied_hedges: counter(
+                "medlarpost_forward_hedges_denied_total",
+                "Hedges that were due and not sent, by the reason",
+                "denial",
+            )?,
             given_up: counter(
                 "medlarpost_forward_given_up_total",
                 "Shards that were given up, by the last outcome",
@@ -184,6 +190,9 @@
             ForwardTelemetry::ExtraAttempt { cause, .. } => {
                 self.extra_attempts.with_label_values(&[*cause]).inc();
             }
+            ForwardTelemetry::HedgeDenied { denial, .. } => {
+                self.denied_hedges.with_label_values(&[denial.name()]).inc();
+            }
             ForwardTelemetry::ShardCutOff { .. } => {
                 self.given_up.with_label_values(&["cut_off"]).inc();
             }
