Split the start of a forwarding node

The tasks that follow the registry and the other nodes are started by a function of their own. The test of extra attempts shares the upstream model of the placement tests and does not use all of it.

--- a/crates/core/tests/extra_attempts/main.rs
+++ b/crates/core/tests/extra_attempts/main.rs
@@ -4,5 +4,9 @@
 mod figures;
 mod fleet;
 mod goals;
+#[expect(
+    dead_code,
+    reason = "only the placement tests disturb single upstreams"
+)]
 #[path = "../placement/upstream_model.rs"]
 mod upstream_model;
--- a/crates/node/src/forward_node.rs
+++ b/crates/node/src/forward_node.rs
@@ -7,7 +7,7 @@
     forward_metrics::ForwardMetrics,
     forward_task::{self, ForwardMessage, ForwardParts, ForwardSender, ForwardStatus},
     http_server::{self, ServerPhase},
-    member_task::{self, MemberChannels},
+    member_task::{self, Announcement, MemberChannels},
     peer_load_metrics::PeerLoadMetrics,
     prelude::*,
     registry::Registry,
@@ -180,32 +180,21 @@
         let (failures, failed_tasks) = mpsc::unbounded_channel();
         let forward_task = forward_task::run(parts, forward.clone(), forward_rx);
         spawn_essential("forward", forward_task, &failures);
-        let membership = Membership::new(settings.membership.clone());
-        let (contacts, contacts_rx) = watch::channel(membership.contacts());
-        let (registry_fleet, registry_fleet_rx) = watch::channel(None);
         let (registry_limits, registry_limits_rx) = watch::channel(settings.registry);
-        let watcher = RegistryWatcher::new(
+        let fleet = FleetParts {
+            members: bound.members,
+            snapshots: bound.snapshots,
+            membership: Membership::new(settings.membership.clone()),
             registry,
-            registry_limits_rx,
-            forward.clone(),
-            contacts_rx,
-            metrics.clone(),
-            log.clone(),
-        )
-        .context(node_error::ChartSnafu)?
-        .with_fleet(registry_fleet_rx);
-        let snapshots = watcher.serve_nodes(bound.snapshots);
-        spawn_essential("snapshots", snapshots, &failures);
-        spawn_essential("registry", watcher.run(), &failures);
-        let channels = MemberChannels {
+            registry_limits: registry_limits_rx,
             announcements: announcements_rx,
             forward: forward.clone(),
-            contacts,
-            registry_fleet,
-            metrics: peer_load_metrics,
+            metrics: metrics.clone(),
+            peer_load_metrics,
+            clock,
+            log: log.clone(),
         };
-        let members = member_task::run(bound.members, membership, clock, channels, log.clone());
-        spawn_essential("members", members, &failures);
+        spawn_fleet_tasks(fleet, &failures)?;
         let workers = Workers::current_thread();
         let readiness = ReadinessHandler { ready: ready_rx };
         spawn_server(bound.readiness, readiness, &server_phase_rx, &workers, &log);
@@ -337,6 +326,58 @@
     }
 }
 
+/// What the tasks are built from that follow the registry and the other nodes.
+struct FleetParts<R> {
+    members: tokio::net::UdpSocket,
+    snapshots: tokio::net::TcpListener,
+    membership: Membership,
+    registry: R,
+    registry_limits: watch::Receiver<RegistryLimits>,
+    announcements: mpsc::UnboundedReceiver<Announcement>,
+    forward: ForwardSender,
+    metrics: ForwardMetrics,
+    peer_load_metrics: PeerLoadMetrics,
+    clock: Clock,
+    log: Logger,
+}
+
+/// Starts the tasks that follow the registry and the other nodes.
+fn spawn_fleet_tasks<R: Registry>(
+    parts: FleetParts<R>,
+    failures: &mpsc::UnboundedSender<&'static str>,
+) -> Result<(), NodeError> {
+    let (contacts, contacts_rx) = watch::channel(parts.membership.contacts());
+    let (registry_fleet, registry_fleet_rx) = watch::channel(None);
+    let watcher = RegistryWatcher::new(
+        parts.registry,
+        parts.registry_limits,
+        parts.forward.clone(),
+        contacts_rx,
+        parts.metrics,
+        parts.log.clone(),
+    )
+    .context(node_error::ChartSnafu)?
+    .with_fleet(registry_fleet_rx);
+    spawn_essential("snapshots", watcher.serve_nodes(parts.snapshots), failures);
+    spawn_essential("registry", watcher.run(), failures);
+    let channels = MemberChannels {
+        announcements: parts.announcements,
+        forward: parts.forward,
+        contacts,
+        registry_fleet,
+        metrics: parts.peer_load_metrics,
+    };
+    let members = member_task::run(
+        parts.members,
+        parts.membership,
+        parts.clock,
+        channels,
+        parts.log,
+    );
+    spawn_essential("members", members, failures);
+    Ok(())
+}
+
 /// Runs a task and reports its name if it panics. Without the report a node that has lost such a task would look alive.
 fn spawn_essential(
     name: &'static str,
