Judge the recovery of a soak by at least two seconds of requests

Faults had ended late, so that the recovery time of 12 s ended just before the run did and one request was left, which had no answer yet. Change: the run lasts until two seconds after the recovery time. The check is the same and judges more requests.

--- a/crates/medlarctl/src/soak_run.rs
+++ b/crates/medlarctl/src/soak_run.rs
@@ -8,7 +8,7 @@
     soak_fault_steps::FaultEnd,
     soak_fleet::{SOAK_BOUNDS, SoakFleet, ZONES},
     soak_history::Disturbance,
-    soak_observation::{Observation, RunReport, monotonic_micros},
+    soak_observation::{Observation, RunReport, SoakTime, monotonic_micros},
     soak_options::SoakOptions,
     soak_process::SoakProcess,
     soak_report::SoakReport,
@@ -21,6 +21,9 @@
     time::Instant,
 };
 
+/// Shortest time for which requests are counted after the recovery time.
+const RECOVERY_SAMPLE: Duration = Duration::from_secs(2);
+
 /// Time without new faults at the end, in which requests must be served again.
 const FAULT_FREE_END: Duration = Duration::from_secs(15);
 
@@ -83,7 +86,7 @@
     for (at, fault) in &faults {
         run.schedule_at(begin + *at, ScheduledAction::Begin(*fault));
     }
-    let end = begin + duration;
+    let mut end = begin + duration;
     let mut check_interval = tokio::time::interval(CHECK_INTERVAL);
     let interrupted = loop {
         let next = run
@@ -92,6 +95,7 @@
             .map_or(end, |((at, _), _)| *at);
         tokio::select! {
             () = tokio::time::sleep_until(next.min(end)) => {
+                end = end.max(begin + run.recovery_sample_end(load_start));
                 if Instant::now() >= end {
                     break false;
                 }
@@ -163,6 +167,17 @@
         }
     }
 
+    /// End of the requests by which the recovery is judged, counted from `load_start`; zero while a disturbance lasts. On a
+    /// busy machine faults end late, and few requests would be left before the end of the run.
+    fn recovery_sample_end(&self, load_start: SoakTime) -> Duration {
+        let undisturbed_since = self.fleet.history.last_disturbance_end();
+        let since_start = undisturbed_since.map_or(0, |at| at.saturating_sub(load_start));
+        if since_start == 0 {
+            return Duration::ZERO;
+        }
+        Duration::from_micros(since_start + SOAK_BOUNDS.recovery) + RECOVERY_SAMPLE
+    }
+
     /// Waits until all nodes are ready; a node that is not ready within the time-out is a finding.
     async fn wait_until_ready(&mut self) {
         let all = async {
