Name the parts of grants, and state doubled logic once

Tuples for held grants, handed-on grants and own sends become types, and the rates of owners single constants. The rendezvous order of nodes, the share of shards that must reply and the bounds of a stated service time each have one place. Long functions of the quotas and the forwarder are split.

--- a/crates/core/src/dry_run.rs
+++ b/crates/core/src/dry_run.rs
@@ -8,7 +8,7 @@
     ///
     /// # Errors
     ///
-    /// If no route matches, or the workspace is unknown.
+    /// If the node has no configuration, no route matches, or no workspace of this name has a key.
     pub fn dry_run(
         &self,
         now: Timestamp,
@@ -81,10 +81,7 @@
             prefix: route.prefix.clone(),
             idempotent: route.idempotent,
             objective: route.objective,
-            min_coverage: match &route.target {
-                Target::Shards(target) => target.min_coverage,
-                Target::Service(_) | Target::Split(_) => 1.0,
-            },
+            min_coverage: route.min_coverage(),
             usual_reply: times.map(|times| Duration::from_secs_f64(times.mean_secs())),
         }
     }
--- a/crates/core/src/forward_peer_load.rs
+++ b/crates/core/src/forward_peer_load.rs
@@ -1,8 +1,8 @@
 //! Observations of upstreams that nodes share: what this node observes, sends and receives.
 
 use crate::{
-    forwarder::ForwardAttempt, peer_evidence::EvidenceChange, prelude::*,
-    replica::SHARED_LATE_RATIO,
+    forwarder::ForwardAttempt, peer_evidence::EvidenceChange, peer_load::SERVICE_PERCENT,
+    prelude::*, replica::SHARED_LATE_RATIO,
 };
 use std::{cmp::Reverse, collections::BTreeSet, net::SocketAddr};
 
@@ -58,7 +58,7 @@
 
     /// Notes silent upstreams and sends observations that are due.
     pub(crate) fn share_peer_load(&mut self, now: Timestamp, commands: &mut Vec<ForwardCommand>) {
-        if let Some(judges_from) = self.peer_load.takes_check(now) {
+        if let Some(judges_from) = self.peer_load.start_check(now) {
             self.observe_silence(now, judges_from);
         }
         let pending = self.peer_load.take_pending(now);
@@ -140,11 +140,11 @@
 
 /// What a reply after `elapsed` shows. Upstreams that do not state their service time are judged by the reply time.
 fn observed_reply(load: ReportedLoad, elapsed: Duration, usual_secs: f64) -> ObservedLoad {
-    let stated = load.service_percent.map(f64::from);
-    let measured = || elapsed.as_secs_f64() / usual_secs / load.reply_factor() * 100.0;
+    let measured = || (elapsed.as_secs_f64() / usual_secs / load.reply_factor() * 100.0) as u32;
+    let service_percent = load.service_percent.unwrap_or_else(measured);
     let queue = f64::from(load.waiting) / f64::from(load.slots) * 100.0;
     ObservedLoad::Replied {
-        service_percent: stated.unwrap_or_else(measured).clamp(10.0, 2_000.0) as u32,
+        service_percent: service_percent.clamp(*SERVICE_PERCENT.start(), *SERVICE_PERCENT.end()),
         queue_percent: queue as u32,
     }
 }
--- a/crates/core/src/forwarder.rs
+++ b/crates/core/src/forwarder.rs
@@ -408,22 +408,44 @@
         let service = self.service(&entry.service);
         let warm_up = self.service_settings(service).warm_up;
         if let Some(&key) = self.replicas_by_instance.get(&entry.instance) {
-            let replica = &mut self.replicas[key];
+            let replica = &self.replicas[key];
             if replica.entry.address == entry.address && replica.service == service {
-                self.peer_load.remove(replica.digest);
-                let event = replica.update_entry(now, entry);
-                self.peer_load.insert(replica.digest, key);
-                if let Some(event) = event {
-                    let change = replica.apply_event(&self.replica_chart, now, event, warm_up);
-                    commands.extend(change.map(ForwardCommand::Record));
-                    if event == ReplicaEvent::Restarted {
-                        self.report_process_end(now, key, commands);
-                    }
-                }
-                return;
+                return self.update_replica(now, key, entry, warm_up, commands);
             }
             self.retire(now, key, commands);
         }
+        self.add_replica(now, entry, service, commands);
+    }
+
+    /// Applies a later entry of a replica at the same address.
+    fn update_replica(
+        &mut self,
+        now: Timestamp,
+        key: UpstreamKey,
+        entry: RegisteredUpstream,
+        warm_up: Duration,
+        commands: &mut Vec<ForwardCommand>,
+    ) {
+        let replica = &mut self.replicas[key];
+        self.peer_load.remove(replica.digest);
+        let event = replica.update_entry(now, entry);
+        self.peer_load.insert(replica.digest, key);
+        if let Some(event) = event {
+            let change = replica.apply_event(&self.replica_chart, now, event, warm_up);
+            commands.extend(change.map(ForwardCommand::Record));
+            if event == ReplicaEvent::Restarted {
+                self.report_process_end(now, key, commands);
+            }
+        }
+    }
+
+    fn add_replica(
+        &mut self,
+        now: Timestamp,
+        entry: RegisteredUpstream,
+        service: ServiceKey,
+        commands: &mut Vec<ForwardCommand>,
+    ) {
         let (instance, address) = (Arc::clone(&entry.instance), entry.address);
         let initial = match (entry.leaving, entry.cold_for.is_zero()) {
             (true, _) => ReplicaState::Leaving,
--- a/crates/core/src/peer_evidence.rs
+++ b/crates/core/src/peer_evidence.rs
@@ -34,8 +34,14 @@
 pub(crate) struct PeerEvidence {
     /// Unordered; at most [`MAX_OBSERVERS`].
     observations: Vec<Observed>,
-    /// When this node last sent an observation of its own, and whether that was unusual.
-    own_sent: Option<(Timestamp, bool)>,
+    /// The observation of its own that this node last sent.
+    last_own_send: Option<OwnSend>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct OwnSend {
+    at: Timestamp,
+    is_unusual: bool,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -83,12 +89,9 @@
             return EvidenceChange::None;
         }
         let is_news = if observer.is_some() {
-            // Passing on only what nobody has said before keeps the traffic in proportion to the own observations.
-            self.agreeing(now, is_unusual, |_| true) == 0
+            self.is_first_report(now, is_unusual)
         } else {
-            let others = |known: &Observed| known.observer.is_some();
-            self.agreeing(now, is_unusual, others) < ENOUGH_OBSERVERS
-                && self.may_send_own(now, is_unusual)
+            self.has_few_reports(now, is_unusual) && self.try_send_own(now, is_unusual)
         };
         if let Some(index) = known {
             self.observations.swap_remove(index);
@@ -132,14 +135,14 @@
         pending
     }
 
-    /// Seconds that other nodes' observations since `own_sign` add to the time that this node expects. `usual_secs` is the
-    /// usual reply time.
+    /// Seconds that other nodes' observations add to `own_secs`, the time to a reply that this node expects by itself.
+    /// Only those later than the last reply to this node at `own_reply_at` count. `usual_secs` is the usual reply time.
     pub(crate) fn excess_secs(
         &self,
         now: Timestamp,
         usual_secs: f64,
         own_secs: f64,
-        own_sign: Timestamp,
+        own_reply_at: Timestamp,
     ) -> f64 {
         if self.observations.is_empty() {
             return 0.0;
@@ -148,7 +151,7 @@
         let (mut weights, mut weighted_secs) = (0.0, 0.0);
         for known in &self.observations {
             let age = now.since(known.at);
-            let is_outdated = known.at <= own_sign || age > MAX_OBSERVATION_AGE;
+            let is_outdated = known.at <= own_reply_at || age > MAX_OBSERVATION_AGE;
             let Some(secs) = known.expected_secs(age, usual_secs, last_reply) else {
                 continue;
             };
@@ -165,7 +168,19 @@
         excess.min(weights * MAX_EXCESS_PER_OBSERVER * usual_secs)
     }
 
-    /// Recent observations of the same kind among those that `counts` selects.
+    /// Whether an observation of another node is the first recent one of its kind. Passing on only these keeps the traffic
+    /// in proportion to the observations that nodes make themselves.
+    fn is_first_report(&self, now: Timestamp, is_unusual: bool) -> bool {
+        self.agreeing(now, is_unusual, |_| true) == 0
+    }
+
+    /// Whether fewer than [`ENOUGH_OBSERVERS`] other nodes have lately made an observation of this kind.
+    fn has_few_reports(&self, now: Timestamp, is_unusual: bool) -> bool {
+        let is_other = |known: &Observed| known.observer.is_some();
+        self.agreeing(now, is_unusual, is_other) < ENOUGH_OBSERVERS
+    }
+
+    /// Number of recent observations of the same kind among those that `counts` selects.
     fn agreeing(
         &self,
         now: Timestamp,
@@ -180,13 +195,17 @@
         self.observations.iter().filter(agrees).count()
     }
 
-    /// Whether an observation of this node differs from the last one that it sent, or has not been sent for a while.
-    fn may_send_own(&mut self, now: Timestamp, is_unusual: bool) -> bool {
-        let is_repeated = self.own_sent.is_some_and(|(at, was_unusual)| {
-            was_unusual == is_unusual && now.since(at) < REPEAT_INTERVAL
+    /// Notes that an observation of this node is sent, unless one of the same kind was within the [`REPEAT_INTERVAL`].
+    /// Returns whether it is.
+    fn try_send_own(&mut self, now: Timestamp, is_unusual: bool) -> bool {
+        let is_repeated = self.last_own_send.is_some_and(|last| {
+            last.is_unusual == is_unusual && now.since(last.at) < REPEAT_INTERVAL
         });
         if !is_repeated {
-            self.own_sent = Some((now, is_unusual));
+            self.last_own_send = Some(OwnSend {
+                at: now,
+                is_unusual,
+            });
         }
         !is_repeated
     }
@@ -197,7 +216,7 @@
             .any(|known| known.load.is_unusual())
     }
 
-    /// When the latest known reply came.
+    /// Time of the latest reply among the observations; [`Timestamp::ZERO`] without one.
     fn last_reply(&self) -> Timestamp {
         let replies = self
             .observations
@@ -207,6 +226,7 @@
         latest.unwrap_or(Timestamp::ZERO)
     }
 
+    /// Drops the oldest observation if there are as many as may be kept.
     fn make_room(&mut self) {
         if self.observations.len() < MAX_OBSERVERS {
             return;
--- a/crates/core/src/peer_load.rs
+++ b/crates/core/src/peer_load.rs
@@ -1,7 +1,7 @@
 //! What nodes tell each other about the load of upstreams.
 
 use crate::prelude::*;
-use std::net::SocketAddr;
+use std::{net::SocketAddr, ops::RangeInclusive};
 
 /// Most observations in one message, so that it fits in one packet.
 pub const MAX_OBSERVATIONS: usize = 32;
@@ -22,7 +22,7 @@
 const MAX_SILENCE: Duration = Duration::from_secs(30);
 
 /// Service times in percent of the usual one that an observation may state.
-const SERVICE_PERCENT: std::ops::RangeInclusive<u32> = 10..=2_000;
+pub(crate) const SERVICE_PERCENT: RangeInclusive<u32> = 10..=2_000;
 
 /// Longest queue that an observation may state, in percent of the slots.
 const MAX_QUEUE_PERCENT: u32 = 100_000;
@@ -47,7 +47,7 @@
     }
 }
 
-/// What a node has observed of an upstream.
+/// State of an upstream as one attempt has shown it.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ObservedLoad {
     /// It replied.
--- a/crates/core/src/peer_load_sender.rs
+++ b/crates/core/src/peer_load_sender.rs
@@ -38,6 +38,7 @@
 pub(crate) struct PeerLoadSender {
     /// Replicas by the digest of their start.
     replicas: HashMap<UpstreamDigest, UpstreamKey>,
+    /// Address of this node; `None` before the first update of the members.
     own: Option<SocketAddr>,
     /// Other nodes that were heard recently.
     members: Vec<SocketAddr>,
@@ -54,6 +55,7 @@
 }
 
 impl PeerLoadSender {
+    /// A sender without members. `seed` determines which members messages go to.
     pub(crate) fn new(seed: u64) -> Self {
         Self {
             replicas: HashMap::new(),
@@ -86,6 +88,7 @@
         self.replicas.get(&upstream).copied()
     }
 
+    /// Replaces the members by those that were heard recently.
     pub(crate) fn update_members(&mut self, sighting: &FleetSighting) {
         self.own = Some(sighting.own);
         let recent = sighting.members.iter().filter(|m| m.age < MAX_MEMBER_AGE);
@@ -111,11 +114,12 @@
         self.judges_from = now;
     }
 
+    /// Marks a replica whose observations are to be sent with the next message.
     pub(crate) fn mark_pending(&mut self, key: UpstreamKey) {
         self.pending.insert(key);
     }
 
-    /// When [`Self::takes_check`] or [`Self::take_pending`] has something to do next.
+    /// When [`Self::start_check`] or [`Self::take_pending`] has something to do next.
     pub(crate) fn next_due(&self, has_attempts: bool) -> Option<Timestamp> {
         if !self.is_enabled() {
             return None;
@@ -126,7 +130,7 @@
     }
 
     /// Starts a check of the attempts in flight if one is due. Returns the time from which silence counts.
-    pub(crate) fn takes_check(&mut self, now: Timestamp) -> Option<Timestamp> {
+    pub(crate) fn start_check(&mut self, now: Timestamp) -> Option<Timestamp> {
         if !self.is_enabled() || now < self.next_check {
             return None;
         }
@@ -179,6 +183,7 @@
     }
 }
 
+/// Upper bound of the encoded size in bytes.
 fn encoded_bound(observation: &LoadObservation) -> usize {
     match observation.observer {
         Some(SocketAddr::V6(_)) => OBSERVATION_BYTES,
--- a/crates/core/src/quota_fleet.rs
+++ b/crates/core/src/quota_fleet.rs
@@ -265,12 +265,8 @@
         if self.orders.contains_key(workspace) {
             return;
         }
-        let nodes = self.members.keys().copied().chain([own]);
-        let mut weighted: Vec<_> = nodes
-            .map(|node| (rendezvous::weight(workspace, &node.to_string()), node))
-            .collect();
-        weighted.sort_by(|a, b| b.cmp(a));
-        let order = weighted.into_iter().map(|(_, node)| node);
-        self.orders.insert(Arc::clone(workspace), order.collect());
+        let mut order: Vec<_> = self.members.keys().copied().chain([own]).collect();
+        rendezvous::sort_nodes(&mut order, workspace);
+        self.orders.insert(Arc::clone(workspace), order);
     }
 }
--- a/crates/core/src/quota_owner.rs
+++ b/crates/core/src/quota_owner.rs
@@ -9,13 +9,18 @@
 /// them all.
 const MAX_TOKEN_SHARE: f64 = 0.5;
 
-/// Grant requests that a node takes in one second in a small and in a large fleet. A reply has about 70 bytes, and the
-/// heartbeats of a large fleet leave less of the 6 KB a second for control traffic.
-const MAX_REQUESTS_PER_SECOND: (f64, f64) = (64.0, 32.0);
+/// Grant requests that a node takes in one second in a fleet of up to [`SMALL_FLEET_SIZE`] nodes.
+const SMALL_FLEET_RATE: f64 = 64.0;
 
-/// Nodes up to which heartbeats are short, and from which on their lists have their full length for this purpose. Between
-/// them the lists grow with the fleet, and the rate falls.
-const FLEET_SIZES: (f64, f64) = (128.0, 440.0);
+/// The same in a fleet of [`LARGE_FLEET_SIZE`] nodes or more. A reply has about 70 bytes, and the heartbeats of a large
+/// fleet leave less of the 6 KB a second for control traffic. Between the two sizes the rate falls linearly.
+const LARGE_FLEET_RATE: f64 = 32.0;
+
+/// Number of nodes up to which the lists in heartbeats are short. They grow with a larger fleet.
+const SMALL_FLEET_SIZE: f64 = 128.0;
+
+/// Number of nodes from which on these lists count as having their full length.
+const LARGE_FLEET_SIZE: f64 = 440.0;
 
 /// Share of the greatest rate of grant requests from which on the owner asks the nodes to pause.
 const PAUSE_THRESHOLD: f64 = 0.9;
@@ -31,18 +36,18 @@
 /// Least number of delegates, so that one can be lost.
 const MIN_DELEGATES: f64 = 2.0;
 
-/// Share of that rate that a delegate takes: its own grant requests are part of its traffic.
+/// Share of the greatest rate of grant requests that a node takes as a delegate: its own requests are part of its traffic.
 const DELEGATE_RATE_SHARE: f64 = 0.8;
 
-/// The threshold of an owner while it has delegates: nodes learn of them with their next request, and need not pause for
-/// that.
-const FLOOD_THRESHOLD: f64 = 2.0;
+/// Takes the place of [`PAUSE_THRESHOLD`] while an owner has delegates: nodes learn of them with their next request, and
+/// need not pause for that.
+const DELEGATING_PAUSE_THRESHOLD: f64 = 2.0;
 
 /// Time for which the owner keeps its delegates after it needed as many. A fleet that pauses sends few requests, and would
 /// send all of them to the owner again.
 const DELEGATION_TIME: Duration = Duration::from_secs(20);
 
-/// Time for which a node counts as a delegate after it has served others.
+/// Time for which a node counts as a delegate after a message in which it said that it has served others.
 const SERVING_TIME: Duration = Duration::from_secs(10);
 
 /// Time over which grant requests are counted.
@@ -70,15 +75,15 @@
     long_until: Timestamp,
 }
 
-/// What a node is asked as.
+/// The role in which a node receives a grant request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum RequestKind {
-    /// Grants of its own bucket are wanted.
+    /// As the owner, which grants out of its own bucket.
     ToOwner {
         /// Requests that the sender has served as a delegate.
         served: u32,
     },
-    /// Grants that another owner gave it are wanted.
+    /// As a delegate, which hands on grants of the owner.
     ToDelegate,
 }
 
@@ -192,13 +197,10 @@
 
 /// Greatest rate of grant requests that a node takes, per second.
 fn max_request_rate(fleet: &QuotaFleet) -> f64 {
-    let (in_small_fleet, in_large_fleet) = MAX_REQUESTS_PER_SECOND;
-    let (small, large) = FLEET_SIZES;
-    let size = fleet
-        .size()
-        .map_or(large, |size| f64::from(size).clamp(small, large));
-    let position = (size - small) / (large - small);
-    in_small_fleet + (in_large_fleet - in_small_fleet) * position
+    let size = fleet.size().map_or(LARGE_FLEET_SIZE, f64::from);
+    let size = size.clamp(SMALL_FLEET_SIZE, LARGE_FLEET_SIZE);
+    let position = (size - SMALL_FLEET_SIZE) / (LARGE_FLEET_SIZE - SMALL_FLEET_SIZE);
+    SMALL_FLEET_RATE + (LARGE_FLEET_RATE - SMALL_FLEET_RATE) * position
 }
 
 impl RequestLoad {
@@ -241,6 +243,7 @@
         served_at.is_some_and(|at| now.since(*at) < SERVING_TIME)
     }
 
+    /// Keeps the number of delegates that are needed now for [`DELEGATION_TIME`], unless more are kept already.
     fn keep_delegates(&mut self, now: Timestamp, max_rate: f64) {
         let needed = self.needed_delegates(max_rate);
         if needed > 0 && (needed >= self.kept_delegates || now >= self.kept_until) {
@@ -277,7 +280,7 @@
         let (max_rate, threshold) = match message {
             RequestKind::ToDelegate => (max_rate * DELEGATE_RATE_SHARE, PAUSE_THRESHOLD),
             RequestKind::ToOwner { .. } if self.delegates(now, max_rate) > 0 => {
-                (max_rate, FLOOD_THRESHOLD)
+                (max_rate, DELEGATING_PAUSE_THRESHOLD)
             }
             RequestKind::ToOwner { .. } => (max_rate, PAUSE_THRESHOLD),
         };
--- a/crates/core/src/quota_share.rs
+++ b/crates/core/src/quota_share.rs
@@ -24,7 +24,7 @@
 /// The same for a node that serves others as a delegate. It tells them to wait, so that they don't ask meanwhile either.
 const DELEGATE_REQUEST_INTERVAL: Duration = Duration::from_millis(250);
 
-/// Time for which a node counts as a delegate after it has served another one.
+/// Time for which this node acts as a delegate, and asks ahead for others, after it has served another one.
 const SERVING_TIME: Duration = Duration::from_secs(1);
 
 /// Share of the requests expected during the life of a grant that a delegate asks for ahead. What it holds is used in the
@@ -54,8 +54,8 @@
     pub(crate) division: QuotaDivision,
     /// When each request was admitted without a grant, oldest first; not more than a local window ago.
     local: VecDeque<Timestamp>,
-    /// Requests left of each grant and the time at which it ends, the next one to end first.
-    grants: VecDeque<(Timestamp, u32)>,
+    /// Grants of which something is left, the next one to end first.
+    grants: VecDeque<HeldGrant>,
     /// Requests admitted although nothing covered them, to be covered by the next grants.
     debt: u32,
     /// Requests per second, as of `demand_updated_at`.
@@ -73,6 +73,23 @@
     pub(crate) replied_at: Option<Timestamp>,
 }
 
+/// What is left of a grant.
+#[derive(Clone, Copy, Debug)]
+struct HeldGrant {
+    ends_at: Timestamp,
+    /// Requests that may still be admitted; not zero.
+    tokens: u32,
+}
+
+/// What a delegate hands on for a grant request.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct HandedOn {
+    /// Requests that the receiver may admit; zero if nothing is left.
+    pub(crate) tokens: u32,
+    /// Time for which all of them may be used.
+    pub(crate) lifetime: Duration,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct OpenRequest {
     id: u32,
@@ -141,9 +158,9 @@
         local_window: Duration,
     ) -> bool {
         self.expire(now, local_window);
-        if let Some((_, tokens)) = self.grants.front_mut() {
-            *tokens -= 1;
-            if *tokens == 0 {
+        if let Some(grant) = self.grants.front_mut() {
+            grant.tokens -= 1;
+            if grant.tokens == 0 {
                 self.grants.pop_front();
             }
             return true;
@@ -155,20 +172,21 @@
         is_left
     }
 
-    /// Takes up to `wanted` requests out of grants for another node. Returns how many, and the time that all of them may
-    /// still be used.
-    pub(crate) fn hand_on(&mut self, now: Timestamp, wanted: u32) -> (u32, Duration) {
+    /// Takes up to `wanted` requests for another node out of the first grant that lasts long enough.
+    pub(crate) fn hand_on(&mut self, now: Timestamp, wanted: u32) -> HandedOn {
         self.served_at = Some(now);
-        let ends_too_soon = |(end, _): &(Timestamp, u32)| end.since(now) < MIN_HANDED_ON_TIME;
-        let first = self.grants.iter().position(|grant| !ends_too_soon(grant));
-        let Some((ends_at, left)) = first.and_then(|first| self.grants.get_mut(first)) else {
-            return (0, MIN_HANDED_ON_TIME);
+        let lasts = |grant: &&mut HeldGrant| grant.ends_at.since(now) >= MIN_HANDED_ON_TIME;
+        let Some(grant) = self.grants.iter_mut().find(lasts) else {
+            return HandedOn {
+                tokens: 0,
+                lifetime: MIN_HANDED_ON_TIME,
+            };
         };
-        let taken = wanted.min(*left);
-        let lifetime = ends_at.since(now);
-        *left -= taken;
-        self.grants.retain(|(_, left)| *left > 0);
-        (taken, lifetime)
+        let tokens = wanted.min(grant.tokens);
+        let lifetime = grant.ends_at.since(now);
+        grant.tokens -= tokens;
+        self.grants.retain(|grant| grant.tokens > 0);
+        HandedOn { tokens, lifetime }
     }
 
     /// Time until more can be granted, if the quota is known to be used up.
@@ -235,7 +253,7 @@
         } else {
             expected
         };
-        let held: u32 = self.grants.iter().map(|(_, tokens)| tokens).sum();
+        let held: u32 = self.grants.iter().map(|grant| grant.tokens).sum();
         let is_low = f64::from(held) < expected / 2.0;
         if waiting == 0 && self.debt == 0 && !is_low {
             return None;
@@ -328,10 +346,8 @@
         self.debt -= repaid;
         let tokens = tokens - repaid;
         if tokens > 0 {
-            let later = |(at, _): &(Timestamp, u32)| *at > ends_at;
-            let place = self.grants.iter().position(later);
-            let place = place.unwrap_or(self.grants.len());
-            self.grants.insert(place, (ends_at, tokens));
+            let place = self.grants.partition_point(|held| held.ends_at <= ends_at);
+            self.grants.insert(place, HeldGrant { ends_at, tokens });
         }
     }
 
@@ -360,7 +376,11 @@
     }
 
     fn expire(&mut self, now: Timestamp, local_window: Duration) {
-        while self.grants.front().is_some_and(|(end, _)| *end <= now) {
+        while self
+            .grants
+            .front()
+            .is_some_and(|grant| grant.ends_at <= now)
+        {
             self.grants.pop_front();
         }
         while self
--- a/crates/core/src/registry_readers.rs
+++ b/crates/core/src/registry_readers.rs
@@ -8,7 +8,7 @@
     registry_source_chart::{RegistrySourceAction, RegistrySourceEvent, RegistrySourceMachine},
     rendezvous,
 };
-use std::{cmp::Reverse, collections::BTreeSet, net::SocketAddr};
+use std::{collections::BTreeSet, net::SocketAddr};
 
 /// Largest fleet in which every node reads.
 const MAX_READING_FLEET: u32 = 8;
@@ -50,14 +50,15 @@
     Reader(SocketAddr),
 }
 
-/// A node's part in following the registry.
+/// A node's role in reading the registry for the fleet.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-enum Part {
+enum Role {
     /// Every node reads: the fleet is small or not known yet.
     #[default]
     Alone,
-    /// The node reads for others too.
+    /// The node reads, for others too.
     Reader,
+    /// The node polls a reader.
     Follower,
 }
 
@@ -66,7 +67,7 @@
 pub struct RegistryReaders {
     chart: Chart<RegistrySourceMachine>,
     state: RegistrySourceState,
-    part: Part,
+    role: Role,
     /// Readers, in the order in which this node prefers them; empty unless it is a follower.
     readers: Vec<SocketAddr>,
     /// The reader that this node follows; `None` in any state but `Following`.
@@ -88,7 +89,7 @@
         Ok(Self {
             state: chart.initial(),
             chart,
-            part: Part::Alone,
+            role: Role::Alone,
             readers: Vec::new(),
             followed: None,
             avoided: BTreeMap::new(),
@@ -103,12 +104,12 @@
 
     /// Whether the fleet is so large that some nodes read for others. All reads must then be fit to be relayed.
     pub fn is_relaying_fleet(&self) -> bool {
-        self.part != Part::Alone
+        self.role != Role::Alone
     }
 
     /// Whether this node reads for others.
     pub fn is_reader(&self) -> bool {
-        self.part == Part::Reader
+        self.role == Role::Reader
     }
 
     /// Readers that this node may follow, preferred ones first.
@@ -121,22 +122,22 @@
         let fleet = fleet.filter(|fleet| {
             let is_large = fleet.sighting.size.is_some_and(|n| n > MAX_READING_FLEET);
             // A fleet that grows later does not make all of its nodes read again.
-            is_large && limits.allows_following() && (fleet.is_stable || self.part != Part::Alone)
+            is_large && limits.allows_following() && (fleet.is_stable || self.role != Role::Alone)
         });
         let Some(fleet) = fleet else {
-            self.part = Part::Alone;
+            self.role = Role::Alone;
             self.readers.clear();
             return;
         };
         let own = fleet.sighting.own;
         let mut readers = ranked_readers(&fleet.sighting);
         if readers.contains(&own) {
-            self.part = Part::Reader;
+            self.role = Role::Reader;
             self.readers.clear();
         } else {
-            self.part = Part::Follower;
+            self.role = Role::Follower;
             let own = own.to_string();
-            sort_by_weight(&mut readers, &own);
+            rendezvous::sort_nodes(&mut readers, &own);
             self.readers = readers;
         }
     }
@@ -180,7 +181,8 @@
         }
     }
 
-    /// Notes that the connection to the reader failed. The node follows the next one unless it has lost several.
+    /// Notes that the connection to the reader failed. The node follows the next one, unless it has lost more than
+    /// [`MAX_READERS_LOST`] in a row and must read the store.
     pub fn handle_reader_lost(&mut self, now: Timestamp) {
         self.lost += 1;
         if self.lost > MAX_READERS_LOST {
@@ -235,11 +237,7 @@
         .chain([sighting.own])
         .collect();
     let mut nodes: Vec<_> = nodes.into_iter().collect();
-    sort_by_weight(&mut nodes, READER_RANK_KEY);
+    rendezvous::sort_nodes(&mut nodes, READER_RANK_KEY);
     nodes.truncate(reader_count(sighting.size.unwrap_or(0)) as usize);
     nodes
 }
-
-fn sort_by_weight(nodes: &mut [SocketAddr], key: &str) {
-    nodes.sort_by_cached_key(|node| Reverse((rendezvous::weight(key, &node.to_string()), *node)));
-}
--- a/crates/core/src/registry_source_chart.rs
+++ b/crates/core/src/registry_source_chart.rs
@@ -23,7 +23,7 @@
         Read = "read",
         /// There is a reader to follow.
         Assigned = "assigned",
-        /// The node must read the store, or the reader is no longer one.
+        /// The node or its reader has another role now, so that the node stops following it.
         Unassigned = "unassigned",
         /// The view is too old, or the reader does not confirm it.
         Expired = "expired",
--- a/crates/core/src/rendezvous.rs
+++ b/crates/core/src/rendezvous.rs
@@ -1,7 +1,7 @@
 //! Rendezvous (highest-random-weight) hashing of upstreams over the published nodes.
 
 use sha2::{Digest as _, Sha256};
-use std::cmp::Reverse;
+use std::{cmp::Reverse, net::SocketAddr};
 
 /// A published node that upstreams can be assigned to.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -43,12 +43,17 @@
     names.take(count).map(|candidate| candidate.node).collect()
 }
 
-/// Weight of a node for an upstream. SHA-256 gives the same value on every node and in every version of the program,
+/// Orders nodes by their weights for a key, the highest one first.
+pub(crate) fn sort_nodes(nodes: &mut [SocketAddr], key: &str) {
+    nodes.sort_by_cached_key(|node| Reverse((weight(key, &node.to_string()), *node)));
+}
+
+/// Weight of a node for a key, such as the name of an upstream. SHA-256 gives the same value on every node and in every version of the program,
 /// which the standard hasher does not guarantee.
-pub(crate) fn weight(upstream: &str, node: &str) -> u64 {
+fn weight(key: &str, node: &str) -> u64 {
     let mut hasher = Sha256::new();
-    hasher.update((upstream.len() as u64).to_be_bytes());
-    hasher.update(upstream.as_bytes());
+    hasher.update((key.len() as u64).to_be_bytes());
+    hasher.update(key.as_bytes());
     hasher.update(node.as_bytes());
     let digest = hasher.finalize();
     let mut first = [0; 8];
--- a/crates/core/src/replica.rs
+++ b/crates/core/src/replica.rs
@@ -378,8 +378,8 @@
         self.running.first().map(|(attempt, _)| *attempt)
     }
 
-    /// Time without a sign since `from` if a reply is long overdue. Upstreams that have not reported their load are not
-    /// judged.
+    /// Time without a reply, counted from `from` at the earliest, if that is [`SHARED_LATE_RATIO`] times the expected
+    /// one; `None` otherwise. Upstreams that have not reported their load are not judged.
     pub(crate) fn overdue(
         &self,
         now: Timestamp,
--- a/crates/core/src/routing.rs
+++ b/crates/core/src/routing.rs
@@ -183,14 +183,20 @@
         }
     }
 
-    /// Number of shards that must reply for an answer to be a success; 0 if the route states no share.
-    pub fn needed_shards(&self) -> usize {
+    /// Share of the shards that must reply for an answer to be a success, from 0 to 1.
+    pub fn min_coverage(&self) -> f64 {
         match &self.target {
-            Target::Service(_) | Target::Split(_) => 1,
-            Target::Shards(target) => {
-                let share = target.min_coverage * target.services.len() as f64;
-                (share - SHARE_TOLERANCE).ceil() as usize
-            }
+            Target::Service(_) | Target::Split(_) => 1.0,
+            Target::Shards(target) => target.min_coverage,
         }
     }
+
+    /// Number of shards that must reply for an answer to be a success; 0 if the route requires no share of them.
+    pub fn needed_shards(&self) -> usize {
+        let shards = match &self.target {
+            Target::Service(_) | Target::Split(_) => 1,
+            Target::Shards(target) => target.services.len(),
+        };
+        (self.min_coverage() * shards as f64 - SHARE_TOLERANCE).ceil() as usize
+    }
 }
--- a/crates/core/src/workspace_quotas.rs
+++ b/crates/core/src/workspace_quotas.rs
@@ -74,7 +74,7 @@
     is_delegate: bool,
 }
 
-/// Sender of a message that a delegate replies to.
+/// Sender of a message with grant requests, as far as the reply depends on it.
 #[derive(Clone, Copy, Debug)]
 struct RequestSender {
     from: SocketAddr,
@@ -85,6 +85,20 @@
     received_at: Timestamp,
 }
 
+impl RequestSender {
+    fn reply(&self, delegates: u32, grants: Vec<QuotaGrant>) -> OutgoingQuotaMessage {
+        OutgoingQuotaMessage {
+            to: self.from,
+            message: QuotaMessage::Reply {
+                id: self.id,
+                pause: self.pause,
+                delegates,
+                grants,
+            },
+        }
+    }
+}
+
 /// A request of another node for which this delegate waits for its owner.
 #[derive(Clone, Debug)]
 struct ParkedRequest {
@@ -92,7 +106,7 @@
     request: GrantRequest,
 }
 
-/// State of one workspace's share, for logs.
+/// State of one workspace's share, for logs and dry runs.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct QuotaShareStatus {
     /// Number of nodes that the local allowance is computed for; `None` if it is not known.
@@ -297,29 +311,13 @@
                     RequestKind::ToOwner { served: *served }
                 };
                 let (fleet, limits) = (&self.fleet, &self.limits);
-                let pause = self.owner.record_request(now, from, kind, fleet, limits);
-                let delegates = self.delegates_to_state(now, *to_delegate, requests);
                 let sender = RequestSender {
                     from,
                     id: *id,
-                    pause,
+                    pause: self.owner.record_request(now, from, kind, fleet, limits),
                     received_at: now,
                 };
-                let grants = if *to_delegate {
-                    self.hand_on_all(now, &sender, requests, outgoing)
-                } else {
-                    self.grant_all(now, requests)
-                };
-                if grants.is_empty() && *to_delegate {
-                    return false;
-                }
-                let message = QuotaMessage::Reply {
-                    id: *id,
-                    pause,
-                    delegates,
-                    grants,
-                };
-                outgoing.push(OutgoingQuotaMessage { to: from, message });
+                self.answer_requests(now, &sender, *to_delegate, requests, outgoing);
                 false
             }
             QuotaMessage::Reply {
@@ -343,7 +341,27 @@
         }
     }
 
-    /// State of a workspace's share, for logs.
+    /// Replies to the grant requests of another node. A delegate sends no reply as long as it has parked all of them.
+    fn answer_requests(
+        &mut self,
+        now: Timestamp,
+        sender: &RequestSender,
+        to_delegate: bool,
+        requests: &[GrantRequest],
+        outgoing: &mut Vec<OutgoingQuotaMessage>,
+    ) {
+        let delegates = self.delegates_to_state(now, to_delegate, requests);
+        let grants = if to_delegate {
+            self.hand_on_all(now, sender, requests, outgoing)
+        } else {
+            self.grant_all(now, requests)
+        };
+        if !grants.is_empty() || !to_delegate {
+            outgoing.push(sender.reply(delegates, grants));
+        }
+    }
+
+    /// State of a workspace's share, for logs and dry runs.
     pub fn share_status(&mut self, now: Timestamp, workspace: &Arc<str>) -> QuotaShareStatus {
         let share = self.shares.get(workspace);
         let reply_age = share.and_then(|share| share.replied_at.map(|at| now.since(at)));
@@ -555,14 +573,14 @@
     /// What a delegate hands on for a request; `None` if it has nothing and more may come.
     fn hand_on(&mut self, now: Timestamp, request: &GrantRequest) -> Option<QuotaGrant> {
         let share = self.share(now, &request.workspace);
-        let (tokens, lifetime) = share.hand_on(now, request.wanted);
+        let handed_on = share.hand_on(now, request.wanted);
         let retry_after = share.exhausted_for(now);
-        let is_decided = tokens > 0 || !retry_after.is_zero();
+        let is_decided = handed_on.tokens > 0 || !retry_after.is_zero();
         is_decided.then(|| QuotaGrant {
             workspace: Arc::clone(&request.workspace),
-            tokens,
+            tokens: handed_on.tokens,
             retry_after,
-            lifetime: Some(lifetime),
+            lifetime: Some(handed_on.lifetime),
         })
     }
 
@@ -586,14 +604,7 @@
             };
             let delegates =
                 self.delegates_to_state(now, true, std::slice::from_ref(&parked.request));
-            let message = QuotaMessage::Reply {
-                id: parked.sender.id,
-                pause: parked.sender.pause,
-                delegates,
-                grants: vec![grant],
-            };
-            let to = parked.sender.from;
-            outgoing.push(OutgoingQuotaMessage { to, message });
+            outgoing.push(parked.sender.reply(delegates, vec![grant]));
         }
     }
 
