Give the metrics page, exchange time limits and millisecond fields one place each

The page with metrics and /v1/where moves out of forward_node, whose start function is split. A listing records the keys that it names in a type of its own. Behaviour is unchanged.

Tests of medlarpost-wire and, in medlarpost-node, registry_followers, registry_watch, configuration_confirmation, connections, failed_task and interfaces pass.

--- a/crates/node/src/clock.rs
+++ b/crates/node/src/clock.rs
@@ -29,3 +29,11 @@
         self.origin + since
     }
 }
+
+/// Waits until a time; forever without one.
+pub(crate) async fn sleep_until_some(at: Option<Instant>) {
+    match at {
+        Some(at) => tokio::time::sleep_until(at).await,
+        None => std::future::pending().await,
+    }
+}
--- a/crates/node/src/forward_node.rs
+++ b/crates/node/src/forward_node.rs
@@ -1,26 +1,23 @@
 //! A node that forwards requests: binds its listeners, starts its tasks and drains them.
 
 use crate::{
-    admin_token::{self, AdminToken},
+    admin_token::AdminToken,
     caller_connection::{self, CallerParts},
+    clock::sleep_until_some,
     dialect::Dialect,
     forward_metrics::ForwardMetrics,
     forward_task::{self, ForwardMessage, ForwardParts, ForwardSender, ForwardStatus},
     http_server::{self, ServerPhase},
     member_task::{self, Announcement, MemberChannels},
+    metrics_page::MetricsHandler,
     peer_load_metrics::PeerLoadMetrics,
     prelude::*,
     registry::Registry,
     registry_watcher::RegistryWatcher,
     reply_memory::ReplyMemory,
-    where_json::{WhereRequest, WhereResult},
-};
-use actix_http::{Method, ServiceConfig, StatusCode};
-use prometheus::TextEncoder;
-use tokio::{
-    net::TcpSocket,
-    time::{Instant, timeout},
 };
+use actix_http::{ServiceConfig, StatusCode};
+use tokio::{net::TcpSocket, time::Instant};
 
 pub use crate::caller_connection::ListenerPhase;
 
@@ -30,9 +27,6 @@
 /// Backlog of the listener for registry snapshots, which only other nodes use.
 const NODE_BACKLOG: u32 = 64;
 
-/// Time limit for the answer of the forward task to `/v1/where`.
-const WHERE_TIMEOUT: Duration = Duration::from_secs(2);
-
 /// Pause after a failed accept, which mostly means that file descriptors have run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
@@ -96,6 +90,57 @@
     phase: Phase,
 }
 
+/// What the tasks that read the registry and talk to other nodes are built from.
+struct FleetParts<R> {
+    registry: R,
+    /// Listener for the nodes that ask for snapshots or follow this one.
+    snapshots: tokio::net::TcpListener,
+    members: tokio::net::UdpSocket,
+    announcements: mpsc::UnboundedReceiver<Announcement>,
+    forward: ForwardSender,
+    metrics: ForwardMetrics,
+    peer_load_metrics: PeerLoadMetrics,
+    clock: Clock,
+    log: Logger,
+}
+
+impl<R: Registry> FleetParts<R> {
+    /// Starts the tasks. Returns the sender of the limits of the registry.
+    fn spawn(
+        self,
+        settings: &ForwardNodeSettings,
+        failures: &mpsc::UnboundedSender<&'static str>,
+    ) -> Result<watch::Sender<RegistryLimits>, NodeError> {
+        let membership = Membership::new(settings.membership.clone());
+        let (contacts, contacts_rx) = watch::channel(membership.contacts());
+        let (registry_fleet, registry_fleet_rx) = watch::channel(None);
+        let (registry_limits, registry_limits_rx) = watch::channel(settings.registry);
+        let watcher = RegistryWatcher::new(
+            self.registry,
+            registry_limits_rx,
+            self.forward.clone(),
+            contacts_rx,
+            self.metrics,
+            self.log.clone(),
+        )
+        .context(node_error::ChartSnafu)?
+        .with_fleet(registry_fleet_rx);
+        let snapshots = watcher.serve_nodes(self.snapshots);
+        spawn_essential("snapshots", snapshots, failures);
+        spawn_essential("registry", watcher.run(), failures);
+        let channels = MemberChannels {
+            announcements: self.announcements,
+            forward: self.forward,
+            contacts,
+            registry_fleet,
+            metrics: self.peer_load_metrics,
+        };
+        let members = member_task::run(self.members, membership, self.clock, channels, self.log);
+        spawn_essential("members", members, failures);
+        Ok(registry_limits)
+    }
+}
+
 /// What the readiness check reports to the balancer.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Readiness {
@@ -180,21 +225,18 @@
         let (failures, failed_tasks) = mpsc::unbounded_channel();
         let forward_task = forward_task::run(parts, forward.clone(), forward_rx);
         spawn_essential("forward", forward_task, &failures);
-        let (registry_limits, registry_limits_rx) = watch::channel(settings.registry);
         let fleet = FleetParts {
-            members: bound.members,
-            snapshots: bound.snapshots,
-            membership: Membership::new(settings.membership.clone()),
             registry,
-            registry_limits: registry_limits_rx,
+            snapshots: bound.snapshots,
+            members: bound.members,
             announcements: announcements_rx,
             forward: forward.clone(),
-            metrics: metrics.clone(),
+            metrics,
             peer_load_metrics,
             clock,
             log: log.clone(),
         };
-        spawn_fleet_tasks(fleet, &failures)?;
+        let registry_limits = fleet.spawn(&settings, &failures)?;
         let workers = Workers::current_thread();
         let readiness = ReadinessHandler { ready: ready_rx };
         spawn_server(bound.readiness, readiness, &server_phase_rx, &workers, &log);
@@ -326,58 +368,6 @@
     }
 }
 
-/// What the tasks are built from that follow the registry and the other nodes.
-struct FleetParts<R> {
-    members: tokio::net::UdpSocket,
-    snapshots: tokio::net::TcpListener,
-    membership: Membership,
-    registry: R,
-    registry_limits: watch::Receiver<RegistryLimits>,
-    announcements: mpsc::UnboundedReceiver<Announcement>,
-    forward: ForwardSender,
-    metrics: ForwardMetrics,
-    peer_load_metrics: PeerLoadMetrics,
-    clock: Clock,
-    log: Logger,
-}
-
-/// Starts the tasks that follow the registry and the other nodes.
-fn spawn_fleet_tasks<R: Registry>(
-    parts: FleetParts<R>,
-    failures: &mpsc::UnboundedSender<&'static str>,
-) -> Result<(), NodeError> {
-    let (contacts, contacts_rx) = watch::channel(parts.membership.contacts());
-    let (registry_fleet, registry_fleet_rx) = watch::channel(None);
-    let watcher = RegistryWatcher::new(
-        parts.registry,
-        parts.registry_limits,
-        parts.forward.clone(),
-        contacts_rx,
-        parts.metrics,
-        parts.log.clone(),
-    )
-    .context(node_error::ChartSnafu)?
-    .with_fleet(registry_fleet_rx);
-    spawn_essential("snapshots", watcher.serve_nodes(parts.snapshots), failures);
-    spawn_essential("registry", watcher.run(), failures);
-    let channels = MemberChannels {
-        announcements: parts.announcements,
-        forward: parts.forward,
-        contacts,
-        registry_fleet,
-        metrics: parts.peer_load_metrics,
-    };
-    let members = member_task::run(
-        parts.members,
-        parts.membership,
-        parts.clock,
-        channels,
-        parts.log,
-    );
-    spawn_essential("members", members, failures);
-    Ok(())
-}
-
 /// Runs a task and reports its name if it panics. Without the report a node that has lost such a task would look alive.
 fn spawn_essential(
     name: &'static str,
@@ -457,14 +447,6 @@
     }
 }
 
-/// Waits until a time; forever without one.
-async fn sleep_until_some(at: Option<Instant>) {
-    match at {
-        Some(at) => tokio::time::sleep_until(at).await,
-        None => std::future::pending().await,
-    }
-}
-
 fn spawn_server<H: Handler>(
     listener: std::net::TcpListener,
     handler: H,
@@ -504,61 +486,3 @@
         }
     }
 }
-
-/// Serves the metrics as Prometheus text, and `/v1/where` if there is a token.
-#[derive(Clone, Debug)]
-struct MetricsHandler {
-    registry: prometheus::Registry,
-    admin_token: AdminToken,
-    forward: ForwardSender,
-}
-
-impl Handler for MetricsHandler {
-    async fn respond(&self, req: HttpRequest) -> HttpReply {
-        if req.path == "/v1/where" && self.admin_token.is_set() {
-            return self.where_reply(&req).await;
-        }
-        if req.method != Method::GET || req.path != "/metrics" {
-            return HttpReply::text(StatusCode::NOT_FOUND, "metrics are at /metrics");
-        }
-        match TextEncoder::new().encode_to_string(&self.registry.gather()) {
-            Ok(text) => HttpReply::text(StatusCode::OK, text),
-            Err(fault) => HttpReply::text(StatusCode::INTERNAL_SERVER_ERROR, fault.to_string()),
-        }
-    }
-}
-
-impl MetricsHandler {
-    /// Answers what the node would do with the request in the body.
-    async fn where_reply(&self, req: &HttpRequest) -> HttpReply {
-        if !self.admin_token.accepts(req) {
-            return admin_token::unauthorized();
-        }
-        if req.method != Method::POST {
-            return HttpReply::text(StatusCode::METHOD_NOT_ALLOWED, "use POST\n");
-        }
-        let body = req.body.as_deref().unwrap_or_default();
-        let request = match serde_json::from_slice(body) {
-            Ok(request) => request,
-            Err(error) => return HttpReply::text(StatusCode::BAD_REQUEST, format!("{error}\n")),
-        };
-        match timeout(WHERE_TIMEOUT, self.dry_run(request)).await {
-            Ok(Some(Ok(reply))) => HttpReply::json(StatusCode::OK, &reply),
-            Ok(Some(Err(error))) => {
-                HttpReply::text(StatusCode::UNPROCESSABLE_ENTITY, format!("{error}\n"))
-            }
-            Ok(None) | Err(_) => HttpReply::text(
-                StatusCode::SERVICE_UNAVAILABLE,
-                "the node is too busy or is stopping; retry later\n",
-            ),
-        }
-    }
-
-    async fn dry_run(&self, request: WhereRequest) -> Option<WhereResult> {
-        let (tx, rx) = oneshot::channel();
-        self.forward
-            .send(ForwardMessage::DryRun(request, tx))
-            .ok()?;
-        rx.await.ok()
-    }
-}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -53,6 +53,7 @@
 mod link_dialler;
 mod link_listener;
 mod member_task;
+mod metrics_page;
 mod news_exchange;
 mod peer_links;
 mod peer_load_metrics;
--- a/crates/node/src/reader_polls.rs
+++ b/crates/node/src/reader_polls.rs
@@ -1,14 +1,15 @@
 //! The task that polls the reader that this node follows.
 
-use crate::{boot_clock::BootClock, prelude::*, snapshot_exchange::EXCHANGE_TIMEOUT};
+use crate::{
+    boot_clock::BootClock,
+    prelude::*,
+    snapshot_exchange::{EXCHANGE_TIMEOUT, within},
+};
 use actix_rt::task::JoinHandle;
 use futures_util::{SinkExt as _, StreamExt as _};
 use medlarpost_wire::snapshot_codec::FollowerCodec;
 use std::io;
-use tokio::{
-    net::TcpStream,
-    time::{Instant, timeout, timeout_at},
-};
+use tokio::{net::TcpStream, time::Instant};
 use tokio_util::codec::Framed;
 
 /// Shortest time between two polls, which bounds the polls of a reader that answers without waiting.
@@ -40,8 +41,7 @@
 
 impl PollConnection<Idle> {
     async fn connect(reader: SocketAddr, clock: BootClock) -> io::Result<Self> {
-        let stream = timeout(EXCHANGE_TIMEOUT, TcpStream::connect(reader)).await;
-        let stream = stream.map_err(|_elapsed| timed_out())??;
+        let stream = within(EXCHANGE_TIMEOUT, TcpStream::connect(reader)).await?;
         stream.set_nodelay(true)?;
         Ok(Self {
             framed: Framed::new(stream, FollowerCodec::default()),
@@ -55,8 +55,7 @@
             sent_at: self.clock.now(),
             deadline: Instant::now() + poll.wait + EXCHANGE_TIMEOUT,
         };
-        let sent = timeout(EXCHANGE_TIMEOUT, self.framed.send(poll)).await;
-        sent.map_err(|_elapsed| timed_out())??;
+        within(EXCHANGE_TIMEOUT, self.framed.send(poll)).await?;
         Ok(PollConnection {
             framed: self.framed,
             clock: self.clock,
@@ -67,8 +66,11 @@
 
 impl PollConnection<Polling> {
     async fn reply(mut self) -> io::Result<(PollConnection<Idle>, PolledReply)> {
-        let reply = timeout_at(self.state.deadline, self.framed.next()).await;
-        let reply = reply.map_err(|_elapsed| timed_out())?.transpose()?;
+        let time_left = self
+            .state
+            .deadline
+            .saturating_duration_since(Instant::now());
+        let reply = within(time_left, async { self.framed.next().await.transpose() }).await?;
         let reply = reply.ok_or_else(|| io::Error::from(io::ErrorKind::UnexpectedEof))?;
         let timing = PollTiming {
             sent_at: self.state.sent_at,
@@ -83,10 +85,6 @@
     }
 }
 
-fn timed_out() -> io::Error {
-    io::Error::from(io::ErrorKind::TimedOut)
-}
-
 /// Polls a reader once, for a reply at once.
 ///
 /// # Errors
--- a/crates/node/src/registry_contents.rs
+++ b/crates/node/src/registry_contents.rs
@@ -47,6 +47,37 @@
     }
 }
 
+/// What a complete set of items names, as far as it can be parsed.
+#[derive(Debug, Default)]
+struct ListedKeys {
+    keys: HashSet<Arc<str>>,
+    /// Instances with a readable entry.
+    registered: HashSet<Arc<str>>,
+    /// Instances with an entry that can't be read.
+    unreadable: HashSet<Arc<str>>,
+    evacuated_zones: BTreeSet<Arc<str>>,
+}
+
+impl ListedKeys {
+    fn record(&mut self, key: &Arc<str>, document: &RegistryDocument) {
+        self.keys.insert(Arc::clone(key));
+        match document {
+            RegistryDocument::Upstream(registration) => {
+                let instance = Arc::clone(&registration.upstream.instance);
+                self.registered.insert(instance);
+            }
+            RegistryDocument::UnreadableUpstream { instance, .. } => {
+                self.unreadable.insert(Arc::clone(instance));
+            }
+            RegistryDocument::EvacuatedZone(zone) => {
+                self.evacuated_zones.insert(Arc::clone(zone));
+            }
+            RegistryDocument::Configuration(_)
+            | RegistryDocument::UnreadableConfiguration { .. } => {}
+        }
+    }
+}
+
 /// Contents of the registry and what was made of them.
 #[derive(Debug)]
 pub(crate) struct RegistryContents<R> {
@@ -147,36 +178,26 @@
         if source != ContentSource::Snapshot {
             self.confirmation.record_none();
         }
-        let mut seen = HashSet::new();
-        let mut unreadable = HashSet::new();
-        let mut keys = HashSet::new();
-        let mut evacuated_zones = BTreeSet::new();
+        let mut listed = ListedKeys::default();
         for item in listing.items {
             let Some(document) = self.registry.parse_item(&item) else {
                 continue;
             };
-            match &document {
-                RegistryDocument::Upstream(entry) => {
-                    seen.insert(Arc::clone(&entry.upstream.instance));
-                }
-                RegistryDocument::UnreadableUpstream { instance, .. } => {
-                    unreadable.insert(Arc::clone(instance));
-                }
-                RegistryDocument::EvacuatedZone(zone) => {
-                    evacuated_zones.insert(Arc::clone(zone));
-                }
-                _ => {}
-            }
-            keys.insert(Arc::clone(&item.key));
+            listed.record(&item.key, &document);
             self.apply_write(item, document, source);
         }
+        let ListedKeys {
+            keys,
+            registered,
+            unreadable,
+            evacuated_zones,
+        } = listed;
         if evacuated_zones != self.evacuated_zones {
             self.set_evacuated_zones(evacuated_zones);
         }
-        self.remove_absent_entries(&seen, rules);
+        self.remove_absent_entries(&registered, rules);
         self.items.send_modify(|items| items.retain(&keys));
-        seen.extend(unreadable);
-        seen
+        &registered | &unreadable
     }
 
     fn remove_absent_entries(&mut self, listed: &HashSet<Arc<str>>, rules: GraceRules<'_>) {
@@ -214,6 +235,7 @@
         } = reply;
         if !reply.changes_only {
             let _instances = self.apply_listing(snapshot, ContentSource::Reader, rules);
+            // With all items, a reader names only refused entries, which have no grace period.
             for removal in removals {
                 self.apply_relayed_removal(removal, rules.now, rules);
             }
@@ -277,9 +299,9 @@
     fn record_revision(&mut self, revision: u64) {
         self.revision = Some(revision);
         self.items.send_if_modified(|items| {
-            let is_news = items.revision() != revision;
+            let is_changed = items.revision() != revision;
             items.record_revision(revision);
-            is_news
+            is_changed
         });
     }
 
--- a/crates/node/src/registry_follower.rs
+++ b/crates/node/src/registry_follower.rs
@@ -4,6 +4,7 @@
 //! that is too long ago reads the store itself, and then follows another reader.
 
 use crate::{
+    clock::sleep_until_some,
     prelude::*,
     reader_polls::{self, PolledReply, ReaderPolls},
     registry::Registry,
@@ -19,10 +20,15 @@
 
 /// Something that a follower acts on.
 enum FollowEvent {
+    /// The reader has replied to the last poll.
     Replied(PolledReply),
+    /// The connection failed.
     Lost(io::Error),
+    /// No reply has confirmed the view for too long.
     ViewTooOld,
+    /// The grace period of at least one missing entry is over.
     GraceEnded,
+    /// The reader may no longer be the one to follow.
     FleetChanged,
 }
 
@@ -99,7 +105,7 @@
                 Ok(reply) => FollowEvent::Replied(reply),
                 Err(fault) => FollowEvent::Lost(fault),
             },
-            () = changed(&mut self.fleet) => FollowEvent::FleetChanged,
+            () = wait_for_change(&mut self.fleet) => FollowEvent::FleetChanged,
         }
     }
 
@@ -130,8 +136,9 @@
         }
     }
 
-    /// Waits for a random time, and so that a follower that loses one reader after the other calls the store no more often
-    /// than a reader does, but not longer than until the view is too old.
+    /// Waits before a read of the store, but not longer than until the view is too old. The random part spreads the calls of
+    /// followers that lose the same reader; the interval keeps a follower that loses one reader after the other from calling
+    /// the store more often than a reader does.
     async fn delay_own_read(&mut self) {
         let spread = MAX_READ_SPREAD.mul_f64(fastrand::f64());
         let earliest = self.last_own_read + self.limits().interval;
@@ -175,12 +182,11 @@
         self.contact
             .apply_relayed(self.clock.now(), read, &self.limits());
         self.handle_regained_contact(before);
-        let configuration_at = reply.ages.configuration_ms;
-        let limits = self.limits();
-        let rules = GraceRules::new(self.clock.now(), &self.contact, limits);
+        let configuration_age = reply.ages.configuration_ms;
+        let rules = GraceRules::new(self.clock.now(), &self.contact, self.limits());
         self.contents.apply_reply(reply, rules);
         self.deregister_expired();
-        let configuration_at = configuration_at.and_then(|age| timing.time_of(age));
+        let configuration_at = configuration_age.and_then(|age| timing.time_of(age));
         if let Some(at) = configuration_at {
             self.contents.confirm_configuration(at);
         }
@@ -240,16 +246,8 @@
     }
 }
 
-/// Waits for the time, or for ever if there is none.
-async fn sleep_until_some(at: Option<Instant>) {
-    match at {
-        Some(at) => tokio::time::sleep_until(at).await,
-        None => std::future::pending().await,
-    }
-}
-
 /// Waits until the value changes, or for ever if nobody can change it any more.
-async fn changed<T>(receiver: &mut watch::Receiver<T>) {
+async fn wait_for_change<T>(receiver: &mut watch::Receiver<T>) {
     if receiver.changed().await.is_err() {
         std::future::pending::<()>().await;
     }
--- a/crates/node/src/registry_watcher.rs
+++ b/crates/node/src/registry_watcher.rs
@@ -260,8 +260,7 @@
                     found_changes: !changes.changes.is_empty(),
                 };
                 self.record_success();
-                let limits = self.limits();
-                let rules = GraceRules::new(self.clock.now(), &self.contact, limits);
+                let rules = GraceRules::new(self.clock.now(), &self.contact, self.limits());
                 self.contents.apply_changes(changes, rules);
                 self.confirm_own_read(timing.confirmed_at());
             }
@@ -272,8 +271,7 @@
 
     fn apply_own_listing(&mut self, listing: Snapshot, sent_at: BootTime) {
         self.record_success();
-        let limits = self.limits();
-        let rules = GraceRules::new(self.clock.now(), &self.contact, limits);
+        let rules = GraceRules::new(self.clock.now(), &self.contact, self.limits());
         self.contents.apply_own_listing(listing, rules);
         self.confirm_own_read(sent_at);
     }
@@ -355,8 +353,7 @@
         let current = snapshot.current;
         if snapshot.revision > self.contents.latest_revision() {
             let revision = self.contents.revision;
-            let limits = self.limits();
-            let rules = GraceRules::new(self.clock.now(), &self.contact, limits);
+            let rules = GraceRules::new(self.clock.now(), &self.contact, self.limits());
             self.contents.apply_snapshot(snapshot, rules);
             if self.contents.confirmation.is_required() || self.readers.is_relaying_fleet() {
                 // Nodes don't pass on a configuration that they can't read. Changes since this node's own last read show it.
--- a/crates/node/src/send_permit.rs
+++ b/crates/node/src/send_permit.rs
@@ -9,7 +9,7 @@
 };
 
 /// Issues the permits of one upstream. Owned by the engine task.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct PermitIssuer {
     /// Number of withdrawals so far.
     withdrawals: watch::Sender<u64>,
@@ -18,8 +18,7 @@
 impl PermitIssuer {
     /// An issuer that has not withdrawn anything.
     pub fn new() -> Self {
-        let (withdrawals, _) = watch::channel(0);
-        Self { withdrawals }
+        Self::default()
     }
 
     /// Permit for a sub-request that is sent now.
@@ -38,12 +37,6 @@
     }
 }
 
-impl Default for PermitIssuer {
-    fn default() -> Self {
-        Self::new()
-    }
-}
-
 /// Permission to write one sub-request.
 #[derive(Clone, Debug)]
 pub struct SendPermit {
@@ -75,12 +68,13 @@
 /// upstream can't run the sub-request.
 #[derive(Debug)]
 pub struct PermittedBody {
+    /// Not empty until it is written: the permit of an empty body would never be checked.
     bytes: Bytes,
     permit: SendPermit,
 }
 
 impl PermittedBody {
-    /// Body with this content.
+    /// Body with this content, which must not be empty.
     pub fn new(bytes: Bytes, permit: SendPermit) -> Self {
         Self { bytes, permit }
     }
--- a/crates/node/src/snapshot_exchange.rs
+++ b/crates/node/src/snapshot_exchange.rs
@@ -153,18 +153,25 @@
     }
 
     async fn next_request(&mut self, time: Duration) -> io::Result<Option<RelayRequest>> {
-        let request = timeout(time, self.framed.next()).await;
-        request.map_err(|_elapsed| timed_out())?.transpose()
+        within(time, async { self.framed.next().await.transpose() }).await
     }
 
     async fn send(&mut self, reply: RegistryReply) -> io::Result<()> {
-        let sent = timeout(EXCHANGE_TIMEOUT, self.framed.send(reply)).await;
-        sent.map_err(|_elapsed| timed_out())?
+        within(EXCHANGE_TIMEOUT, self.framed.send(reply)).await
     }
 }
 
-fn timed_out() -> io::Error {
-    io::Error::from(io::ErrorKind::TimedOut)
+/// Limits an exchange with another node in time.
+///
+/// # Errors
+///
+/// If the exchange fails, or has not ended within `limit`.
+pub(crate) async fn within<T>(
+    limit: Duration,
+    exchange: impl Future<Output = io::Result<T>>,
+) -> io::Result<T> {
+    let result = timeout(limit, exchange).await;
+    result.map_err(|_elapsed| io::Error::from(io::ErrorKind::TimedOut))?
 }
 
 /// Requests a snapshot from a node; its revision is 0 if that node knows nothing later than `after`.
@@ -181,7 +188,5 @@
         let ended = || io::Error::from(io::ErrorKind::UnexpectedEof);
         answer.ok_or_else(ended)
     };
-    timeout(EXCHANGE_TIMEOUT, exchange)
-        .await
-        .map_err(|_elapsed| timed_out())?
+    within(EXCHANGE_TIMEOUT, exchange).await
 }
--- a/crates/node/src/where_json.rs
+++ b/crates/node/src/where_json.rs
@@ -1,6 +1,6 @@
 //! JSON of `/v1/where`: the request that is tried, and what the node would do with it.
 
-use crate::prelude::*;
+use crate::{caller_json::millis, prelude::*};
 
 /// Request to try.
 #[derive(Clone, Debug, Default)]
@@ -359,7 +359,3 @@
     };
     Some(text)
 }
-
-fn millis(time: Duration) -> f64 {
-    time.as_secs_f64() * 1_000.0
-}
--- a/crates/wire/src/encode.rs
+++ b/crates/wire/src/encode.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     generated::{self, document, frame, news, redeemed},
+    millis::encode_millis,
     prelude::*,
 };
 use prost::Message as _;
@@ -43,7 +44,7 @@
         version: heartbeat.version,
         sent_micros: heartbeat.sent.as_micros(),
         echo_micros: heartbeat.echo.as_micros(),
-        interval_ms: u32::try_from(heartbeat.interval.as_millis()).unwrap_or(u32::MAX),
+        interval_ms: encode_millis(heartbeat.interval),
         answer_wanted: heartbeat.answer_wanted,
     }
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -18,7 +18,7 @@
 
 mod decode;
 mod encode;
-
+mod millis;
 mod quota_codec;
 
 #[expect(clippy::struct_field_names, reason = "names of the protocol")]
--- a/crates/wire/src/member_heartbeat_codec.rs
+++ b/crates/wire/src/member_heartbeat_codec.rs
@@ -4,6 +4,7 @@
 use crate::{
     generated_member::{self as gen_member, notice::Content},
     member_datagram::MemberDatagram,
+    millis::encode_millis,
     observation_codec::{decode_observations, encode_observations},
     prelude::*,
     quota_codec::{decode_quota_message, encode_quota_message},
@@ -34,11 +35,11 @@
     fn encode(&mut self, item: MemberHeartbeat, dst: &mut bytes::BytesMut) -> std::io::Result<()> {
         let heard = item.known_members.iter().map(|heard| gen_member::Heard {
             address: heard.address.to_string(),
-            age_ms: u32::try_from(heard.age.as_millis()).unwrap_or(u32::MAX),
+            age_ms: encode_millis(heard.age),
         });
         let barred = item.quarantined.iter().map(|barred| gen_member::Barred {
             digest: bytes::Bytes::copy_from_slice(&barred.digest.0),
-            age_ms: u32::try_from(barred.age.as_millis()).unwrap_or(u32::MAX),
+            age_ms: encode_millis(barred.age),
         });
         let message = gen_member::Beat {
             major: MAJOR_VERSION,
@@ -51,9 +52,7 @@
             quota: None,
             observations: None,
         };
-        dst.reserve(message.encoded_len());
-        message.encode(dst)?;
-        Ok(())
+        write_datagram(&message, dst)
     }
 }
 
@@ -66,9 +65,7 @@
             quota: Some(encode_quota_message(&item)),
             ..gen_member::Beat::default()
         };
-        dst.reserve(message.encoded_len());
-        message.encode(dst)?;
-        Ok(())
+        write_datagram(&message, dst)
     }
 }
 
@@ -85,12 +82,16 @@
             observations: Some(encode_observations(&item)),
             ..gen_member::Beat::default()
         };
-        dst.reserve(message.encoded_len());
-        message.encode(dst)?;
-        Ok(())
+        write_datagram(&message, dst)
     }
 }
 
+fn write_datagram(message: &gen_member::Beat, dst: &mut bytes::BytesMut) -> std::io::Result<()> {
+    dst.reserve(message.encoded_len());
+    message.encode(dst)?;
+    Ok(())
+}
+
 impl Decoder for MemberHeartbeatCodec {
     type Error = std::io::Error;
     type Item = Option<MemberDatagram>;
@@ -159,14 +160,12 @@
 fn encode_notice(notice: &UpstreamNotice) -> gen_member::Notice {
     let content = match notice.kind {
         NoticeKind::Leaving => Content::Leaving(true),
-        NoticeKind::Resting { left } => {
-            Content::RestingMs(u32::try_from(left.as_millis()).unwrap_or(u32::MAX))
-        }
+        NoticeKind::Resting { left } => Content::RestingMs(encode_millis(left)),
     };
     gen_member::Notice {
         instance: notice.instance.to_string(),
         started_at_ms: notice.started_at_ms,
-        age_ms: u32::try_from(notice.age.as_millis()).unwrap_or(u32::MAX),
+        age_ms: encode_millis(notice.age),
         content: Some(content),
     }
 }
--- a/crates/wire/src/observation_codec.rs
+++ b/crates/wire/src/observation_codec.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     generated_member::{self as gen_member, observation::Content},
+    millis::encode_millis,
     prelude::*,
 };
 use medlarpost_core::peer_load::MAX_OBSERVATIONS;
@@ -38,12 +39,12 @@
             service_percent,
             queue_percent,
         }),
-        ObservedLoad::Silent { elapsed } => Content::SilentMs(encode_time(elapsed)),
+        ObservedLoad::Silent { elapsed } => Content::SilentMs(encode_millis(elapsed)),
     };
     gen_member::Observation {
         upstream: observation.upstream.0,
         observer: observation.observer.map_or_else(Bytes::new, encode_address),
-        age_ms: encode_time(observation.age),
+        age_ms: encode_millis(observation.age),
         content: Some(content),
     }
 }
@@ -91,7 +92,3 @@
     };
     Some(SocketAddr::new(ip, port))
 }
-
-fn encode_time(time: Duration) -> u32 {
-    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
-}
--- a/crates/wire/src/quota_codec.rs
+++ b/crates/wire/src/quota_codec.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     generated_member::{self as gen_member, quota::Content},
+    millis::encode_millis,
     prelude::*,
 };
 use medlarpost_core::quota_message::{MAX_GRANT, MAX_QUOTA_ENTRIES};
@@ -111,8 +112,7 @@
 
 /// Whole milliseconds, rounded down so that a grant does not last longer; at least one, because zero means none.
 fn encode_lifetime(lifetime: Duration) -> u32 {
-    let millis = lifetime.min(MAX_TIME).as_millis();
-    u32::try_from(millis).unwrap_or(u32::MAX).max(1)
+    encode_millis(lifetime.min(MAX_TIME)).max(1)
 }
 
 fn decode_time(millis: u32) -> Duration {
--- a/crates/wire/src/snapshot_codec.rs
+++ b/crates/wire/src/snapshot_codec.rs
@@ -1,6 +1,6 @@
 //! Codec for the snapshots of the registry that nodes relay to each other.
 
-use crate::{generated_snapshot as gen_snapshot, prelude::*};
+use crate::{generated_snapshot as gen_snapshot, millis::encode_millis, prelude::*};
 use prost::Message as _;
 use std::marker::PhantomData;
 use tokio_util::codec::{Decoder, Encoder, LengthDelimitedCodec};
@@ -117,7 +117,7 @@
                 major: MAJOR_VERSION,
                 after: poll.after,
                 follows: true,
-                wait_ms: u32::try_from(poll.wait.as_millis()).unwrap_or(u32::MAX),
+                wait_ms: encode_millis(poll.wait),
             },
         };
         message.encode_to_vec()
