Name what a soak fault ends, split long soak checks, and fill gaps in the notes

FaultEnd names its numbers instead of holding tuples, the checks of a request and of extra load are split without a change to what they find, and the faults of the store have a function of their own.

--- a/crates/medlarctl/src/admin_client.rs
+++ b/crates/medlarctl/src/admin_client.rs
@@ -1,7 +1,7 @@
-//! Requests to the administrators' page of a node.
+//! HTTP requests to a node with the administrators' token.
 
 use crate::{
-    ctl_error::{CtlError, InvalidValueSnafu, NodeResponseSnafu},
+    ctl_error::{CtlError, InvalidValueSnafu},
     http_client::HttpClient,
     secret,
 };
@@ -15,15 +15,20 @@
 /// Time-out of a request.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// A node's administrators' listener, and the token for it.
+/// The listener of a node that accepts the administrators' token, and that token.
 pub(crate) struct AdminClient<'a> {
     address: SocketAddr,
     token: String,
+    /// File with the PEM root certificates of the listener; `None` for plain HTTP.
     roots: Option<&'a Path>,
 }
 
 impl<'a> AdminClient<'a> {
     /// A client for the listener at `address`, with the token from the file or the environment.
+    ///
+    /// # Errors
+    ///
+    /// If the address is no `IP:PORT`, or the file can't be read.
     pub(crate) fn new(
         address: &str,
         token_file: Option<&Path>,
@@ -45,11 +50,19 @@
     }
 
     /// Body of the page at `path`, of at most `limit` bytes.
+    ///
+    /// # Errors
+    ///
+    /// If the node can't be reached, or answers with another status than success or with a longer body.
     pub(crate) fn get(&self, path: &str, limit: usize) -> Result<Bytes, CtlError> {
         actix_rt::System::new().block_on(self.exchange("GET", path, Bytes::new(), limit))
     }
 
     /// Body of the reply to a JSON body, of at most `limit` bytes.
+    ///
+    /// # Errors
+    ///
+    /// As [`AdminClient::get`].
     pub(crate) fn post_json(
         &self,
         path: &str,
@@ -91,13 +104,9 @@
         let body = body.map_err(|error| self.error(format!("{error}; try again")))?;
         match status {
             200..=299 => Ok(body),
-            401 => {
-                let detail = format!(
-                    "the node refused the token; pass --token-file or set {TOKEN_VARIABLE}"
-                );
-                let address = self.address;
-                NodeResponseSnafu { address, detail }.fail()
-            }
+            401 => Err(self.error(format!(
+                "the node refused the token; pass --token-file or set {TOKEN_VARIABLE}"
+            ))),
             404 => Err(self.error(format!(
                 "it has no {path}; check --address, and that the node has an administrators' token"
             ))),
--- a/crates/medlarctl/src/soak_fault_steps.rs
+++ b/crates/medlarctl/src/soak_fault_steps.rs
@@ -26,20 +26,20 @@
 /// known to no node until the store answers again.
 const LONGEST_WATCH: Duration = Duration::from_millis(2_500);
 
-/// How a fault ends. Numbers are the position of the node or upstream, then the index of the recorded disturbance.
+/// How a fault ends. A disturbance is an index in the history of its node or upstream, or in that of the store.
 #[derive(Clone, Debug)]
 pub(crate) enum FaultEnd {
-    StartNode(usize, usize),
-    ResumeNode(usize, usize),
-    RestoreStoreLink(usize, usize),
-    FinishReload(usize, usize),
-    ResumeUpstream(usize, usize),
-    RestoreBehaviour(usize, usize),
-    RestoreUpstreamLink(usize, usize),
-    RestartUpstream(usize, usize),
-    EndLeaving(String),
-    RestoreStore(usize),
-    RepeatEntry(usize),
+    StartNode { node: usize, disturbance: usize },
+    ResumeNode { node: usize, disturbance: usize },
+    RestoreStoreLink { node: usize, disturbance: usize },
+    FinishReload { node: usize, disturbance: usize },
+    ResumeUpstream { upstream: usize, disturbance: usize },
+    RestoreBehaviour { upstream: usize, disturbance: usize },
+    RestoreUpstreamLink { upstream: usize, disturbance: usize },
+    RestartUpstream { upstream: usize, disturbance: usize },
+    EndLeaving { instance: String },
+    RestoreStore { disturbance: usize },
+    RepeatEntry { upstream: usize },
     ReturnZone(&'static str),
 }
 
@@ -51,19 +51,19 @@
                 if let Some(process) = self.fleet.take_node_process(node) {
                     let disturbance = self.fleet.begin_disturbance(node, Disturbance::Unplanned);
                     self.fleet.end_node_process(process).await;
-                    self.schedule_end(time, FaultEnd::StartNode(node, disturbance));
+                    self.schedule_end(time, FaultEnd::StartNode { node, disturbance });
                 }
             }
             SoakFault::StopNode(node) => self.stop_node(node),
             SoakFault::PauseNode(node, time) if self.fleet.is_running(node) => {
                 let disturbance = self.fleet.begin_disturbance(node, Disturbance::Unplanned);
                 self.fleet.signal_node(node, Signal::STOP);
-                self.schedule_end(time, FaultEnd::ResumeNode(node, disturbance));
+                self.schedule_end(time, FaultEnd::ResumeNode { node, disturbance });
             }
             SoakFault::ReloadNode(node) if self.fleet.is_running(node) => {
                 let disturbance = self.fleet.begin_disturbance(node, Disturbance::Planned);
                 self.fleet.signal_node(node, Signal::HUP);
-                self.schedule_end(CHECK_INTERVAL, FaultEnd::FinishReload(node, disturbance));
+                self.schedule_end(CHECK_INTERVAL, FaultEnd::FinishReload { node, disturbance });
             }
             SoakFault::PauseNode(..) | SoakFault::ReloadNode(_) => {}
             SoakFault::StoreLink(node, fault, time) => {
@@ -71,8 +71,23 @@
                 self.fleet.set_store_link_fault(node, fault);
                 // Removes a key behind the back of a node that is cut off.
                 self.fleet.publish_next_configuration(false).await;
-                self.schedule_end(time, FaultEnd::RestoreStoreLink(node, disturbance));
+                self.schedule_end(time, FaultEnd::RestoreStoreLink { node, disturbance });
             }
+            SoakFault::RefuseStoreCalls(_)
+            | SoakFault::PauseStore(_)
+            | SoakFault::CutWatches(_)
+            | SoakFault::CompactStore
+            | SoakFault::PublishConfiguration
+            | SoakFault::Repartition
+            | SoakFault::ZoneOut(..) => self.begin_store_step(fault).await,
+            other => self.begin_upstream_fault(other).await?,
+        }
+        Ok(())
+    }
+
+    /// Disturbs the store, or changes what it publishes.
+    async fn begin_store_step(&mut self, fault: SoakFault) {
+        match fault {
             SoakFault::RefuseStoreCalls(time) => {
                 let command = StoreCommand::Fault(StoreFault::Busy);
                 self.fleet.send_store_command(&command).await;
@@ -92,10 +107,6 @@
                     self.schedule_at(Instant::now() + WATCH_CUT_INTERVAL, next);
                 }
             }
-            SoakFault::OddEntry(upstream) => {
-                self.fleet.put_odd_entry(upstream).await;
-                self.schedule_end(ENTRY_INTERVAL, FaultEnd::RepeatEntry(upstream));
-            }
             SoakFault::CompactStore => {
                 self.fleet.send_store_command(&StoreCommand::Compact).await;
             }
@@ -105,38 +116,65 @@
                 self.fleet.set_zone_out(ZONES[zone], true).await;
                 self.schedule_end(time, FaultEnd::ReturnZone(ZONES[zone]));
             }
-            other => self.begin_upstream_fault(other).await?,
+            _ => {}
         }
-        Ok(())
     }
 
     async fn begin_upstream_fault(&mut self, fault: SoakFault) -> io::Result<()> {
         match fault {
             SoakFault::KillUpstream(upstream, time) => {
-                let span = self.begin_upstream_disturbance(upstream);
+                let disturbance = self.begin_upstream_disturbance(upstream);
                 self.fleet.kill_upstream(upstream).await;
-                self.schedule_end(time, FaultEnd::RestartUpstream(upstream, span));
+                self.schedule_end(
+                    time,
+                    FaultEnd::RestartUpstream {
+                        upstream,
+                        disturbance,
+                    },
+                );
             }
             SoakFault::ReplaceUpstream(upstream) | SoakFault::RemoveUpstream(upstream) => {
                 let is_announced = matches!(fault, SoakFault::ReplaceUpstream(_));
                 if let Some(instance) = self.fleet.replace_upstream(upstream, is_announced).await? {
-                    self.schedule_end(LEAVING_TIME, FaultEnd::EndLeaving(instance));
+                    self.schedule_end(LEAVING_TIME, FaultEnd::EndLeaving { instance });
                 }
             }
             SoakFault::PauseUpstream(upstream, time) => {
-                let span = self.begin_upstream_disturbance(upstream);
+                let disturbance = self.begin_upstream_disturbance(upstream);
                 self.signal_upstream(upstream, Signal::STOP);
-                self.schedule_end(time, FaultEnd::ResumeUpstream(upstream, span));
+                self.schedule_end(
+                    time,
+                    FaultEnd::ResumeUpstream {
+                        upstream,
+                        disturbance,
+                    },
+                );
             }
             SoakFault::Misbehave(upstream, behaviour, time) => {
-                let span = self.begin_upstream_disturbance(upstream);
+                let disturbance = self.begin_upstream_disturbance(upstream);
                 self.set_behaviour(upstream, behaviour).await;
-                self.schedule_end(time, FaultEnd::RestoreBehaviour(upstream, span));
+                self.schedule_end(
+                    time,
+                    FaultEnd::RestoreBehaviour {
+                        upstream,
+                        disturbance,
+                    },
+                );
             }
             SoakFault::UpstreamLink(upstream, fault, time) => {
-                let span = self.begin_upstream_disturbance(upstream);
+                let disturbance = self.begin_upstream_disturbance(upstream);
                 self.fleet.upstreams[upstream].link.set_fault(fault);
-                self.schedule_end(time, FaultEnd::RestoreUpstreamLink(upstream, span));
+                self.schedule_end(
+                    time,
+                    FaultEnd::RestoreUpstreamLink {
+                        upstream,
+                        disturbance,
+                    },
+                );
+            }
+            SoakFault::OddEntry(upstream) => {
+                self.fleet.put_odd_entry(upstream).await;
+                self.schedule_end(ENTRY_INTERVAL, FaultEnd::RepeatEntry { upstream });
             }
             _ => {}
         }
@@ -146,60 +184,73 @@
     /// Restores what a fault has disturbed.
     pub(crate) async fn end_fault(&mut self, end: FaultEnd) -> io::Result<()> {
         match end {
-            FaultEnd::StartNode(node, disturbance) => {
+            FaultEnd::StartNode { node, disturbance } => {
                 self.fleet.start_node(node).await?;
                 self.fleet.end_disturbance(node, disturbance);
             }
-            FaultEnd::ResumeNode(node, disturbance) => {
+            FaultEnd::ResumeNode { node, disturbance } => {
                 self.fleet.signal_node(node, Signal::CONT);
                 self.fleet.end_disturbance(node, disturbance);
             }
-            FaultEnd::RestoreStoreLink(node, disturbance) => {
+            FaultEnd::RestoreStoreLink { node, disturbance } => {
                 self.fleet.set_store_link_fault(node, LinkFault::None);
                 self.fleet.end_disturbance(node, disturbance);
             }
-            FaultEnd::FinishReload(node, disturbance) => {
+            FaultEnd::FinishReload { node, disturbance } => {
                 self.fleet.end_disturbance(node, disturbance);
             }
-            FaultEnd::ResumeUpstream(upstream, span) => {
+            FaultEnd::ResumeUpstream {
+                upstream,
+                disturbance,
+            } => {
                 self.signal_upstream(upstream, Signal::CONT);
-                self.end_upstream_disturbance(upstream, span);
+                self.end_upstream_disturbance(upstream, disturbance);
             }
-            FaultEnd::RestoreBehaviour(upstream, span) => {
+            FaultEnd::RestoreBehaviour {
+                upstream,
+                disturbance,
+            } => {
                 self.set_behaviour(upstream, Behaviour::Whole).await;
-                self.end_upstream_disturbance(upstream, span);
+                self.end_upstream_disturbance(upstream, disturbance);
             }
-            FaultEnd::RestoreUpstreamLink(upstream, span) => {
+            FaultEnd::RestoreUpstreamLink {
+                upstream,
+                disturbance,
+            } => {
                 self.fleet.upstreams[upstream]
                     .link
                     .set_fault(LinkFault::None);
-                self.end_upstream_disturbance(upstream, span);
+                self.end_upstream_disturbance(upstream, disturbance);
             }
-            FaultEnd::RestartUpstream(upstream, span) => {
+            FaultEnd::RestartUpstream {
+                upstream,
+                disturbance,
+            } => {
                 self.fleet.restart_upstream(upstream).await?;
-                self.end_upstream_disturbance(upstream, span);
+                self.end_upstream_disturbance(upstream, disturbance);
             }
-            FaultEnd::RepeatEntry(upstream) => self.fleet.repeat_entry(upstream).await,
-            FaultEnd::EndLeaving(instance) => self.fleet.end_leaving(&instance).await,
-            FaultEnd::RestoreStore(span) => {
+            FaultEnd::RepeatEntry { upstream } => self.fleet.repeat_entry(upstream).await,
+            FaultEnd::EndLeaving { instance } => self.fleet.end_leaving(&instance).await,
+            FaultEnd::RestoreStore { disturbance } => {
                 self.fleet.signal_store(Signal::CONT);
                 let command = StoreCommand::Fault(StoreFault::None);
                 self.fleet.send_store_command(&command).await;
-                self.fleet.history.store_disturbances[span].until = Some(monotonic_micros());
+                self.fleet.history.store_disturbances[disturbance].until = Some(monotonic_micros());
             }
             FaultEnd::ReturnZone(zone) => self.fleet.set_zone_out(zone, false).await,
         }
         Ok(())
     }
 
-    /// Records a fault of the store; returns its position among them.
+    /// Records a fault of the store and schedules its end; returns its index in the history.
     fn begin_store_disturbance(&mut self, time: Duration) -> usize {
         self.fleet.history.store_disturbances.push(span_from_now());
-        let span = self.fleet.history.store_disturbances.len() - 1;
-        self.schedule_end(time, FaultEnd::RestoreStore(span));
-        span
+        let disturbance = self.fleet.history.store_disturbances.len() - 1;
+        self.schedule_end(time, FaultEnd::RestoreStore { disturbance });
+        disturbance
     }
 
+    /// Records a fault of an upstream; returns its index in the history of the upstream.
     fn begin_upstream_disturbance(&mut self, upstream: usize) -> usize {
         let spans = self
             .fleet
@@ -211,9 +262,9 @@
         spans.len() - 1
     }
 
-    fn end_upstream_disturbance(&mut self, upstream: usize, span: usize) {
+    fn end_upstream_disturbance(&mut self, upstream: usize, disturbance: usize) {
         if let Some(spans) = self.fleet.history.upstream_disturbances.get_mut(&upstream) {
-            spans[span].until = Some(monotonic_micros());
+            spans[disturbance].until = Some(monotonic_micros());
         }
     }
 
--- a/crates/medlarctl/src/soak_limits.rs
+++ b/crates/medlarctl/src/soak_limits.rs
@@ -13,6 +13,14 @@
 /// Smallest share of the requests that must be served after the recovery time.
 const MIN_SERVED_SHARE: f64 = 0.25;
 
+/// Times at which services received requests. The first run of a request at a service counts as primary, each further one
+/// as extra.
+#[derive(Debug, Default)]
+struct ServiceArrivals<'a> {
+    primary: BTreeMap<&'a str, Vec<SoakTime>>,
+    extra: BTreeMap<&'a str, Vec<SoakTime>>,
+}
+
 impl SoakChecks {
     /// Checks the rate of the requests that each instance received while it was cold.
     pub(crate) fn check_cold_limit(&mut self, history: &SoakHistory) {
@@ -41,11 +49,25 @@
         }
     }
 
-    /// The first run of a request at a service counts as primary, each further one as extra.
+    /// Checks the number of extra requests that each service received in each window.
     pub(crate) fn check_extra_limit(&mut self, history: &SoakHistory) {
-        let window = self.bounds.extra_window;
-        let mut primary: BTreeMap<&str, Vec<SoakTime>> = BTreeMap::new();
-        let mut extra: BTreeMap<&str, Vec<SoakTime>> = BTreeMap::new();
+        let ServiceArrivals { primary, extra } = self.arrivals_by_service(history);
+        let mut details = Vec::new();
+        for (service, mut times) in extra {
+            times.sort_unstable();
+            let primary = primary.get(service).map_or(&[][..], Vec::as_slice);
+            let excess = times
+                .iter()
+                .find_map(|&from| self.excess_of_extra(from, &times, primary));
+            details.extend(excess.map(|excess| format!("{service} received {excess}")));
+        }
+        for detail in details {
+            self.add_finding(Invariant::ExtraLimit, detail);
+        }
+    }
+
+    fn arrivals_by_service<'a>(&'a self, history: &'a SoakHistory) -> ServiceArrivals<'a> {
+        let mut arrivals = ServiceArrivals::default();
         for request in self.requests.values() {
             let mut services = BTreeSet::new();
             let mut runs: Vec<_> = request.runs.iter().collect();
@@ -55,41 +77,35 @@
                     continue;
                 };
                 let list = if services.insert(&record.service) {
-                    &mut primary
+                    &mut arrivals.primary
                 } else {
-                    &mut extra
+                    &mut arrivals.extra
                 };
                 list.entry(&record.service).or_default().push(run.at);
             }
         }
-        let mut details = Vec::new();
-        for (service, mut times) in extra {
-            times.sort_unstable();
-            let count = |list: Option<&Vec<SoakTime>>, from: SoakTime, until: SoakTime| {
-                list.map_or(0, |list| {
-                    list.iter().filter(|at| (from..until).contains(*at)).count()
-                })
-            };
-            for &from in &times {
-                let used = count(Some(&times), from, from + window);
-                // The most primary requests of this window, the one before it, and the one half a window before it.
-                let base = [window, window / 2, 0].map(|back| {
-                    let from = from.saturating_sub(back);
-                    count(primary.get(service), from, from + window)
-                });
-                let base = base.into_iter().max().unwrap_or(0) as f64;
-                let limit = self.bounds.extra_ratio * base + self.bounds.extra_slack;
-                if used as f64 > limit {
-                    details.push(format!(
-                        "{service} received {used} extra requests from {from}, {limit:.0} are allowed"
-                    ));
-                    break;
-                }
-            }
-        }
-        for detail in details {
-            self.add_finding(Invariant::ExtraLimit, detail);
-        }
+        arrivals
+    }
+
+    /// Describes the extra requests in the window that begins at `from`, if they are more than allowed.
+    fn excess_of_extra(
+        &self,
+        from: SoakTime,
+        extra: &[SoakTime],
+        primary: &[SoakTime],
+    ) -> Option<String> {
+        let window = self.bounds.extra_window;
+        let count = |times: &[SoakTime], from: SoakTime| {
+            let within = from..from + window;
+            times.iter().filter(|at| within.contains(*at)).count()
+        };
+        let used = count(extra, from);
+        // The most primary requests of this window, the one before it, and the one half a window before it.
+        let base = [window, window / 2, 0].map(|back| count(primary, from.saturating_sub(back)));
+        let base = base.into_iter().max().unwrap_or(0) as f64;
+        let limit = self.bounds.extra_ratio * base + self.bounds.extra_slack;
+        (used as f64 > limit)
+            .then(|| format!("{used} extra requests from {from}, {limit:.0} are allowed"))
     }
 
     /// Checks that requests are served again once the recovery time after the last fault is over.
--- a/crates/medlarctl/src/soak_request.rs
+++ b/crates/medlarctl/src/soak_request.rs
@@ -32,76 +32,96 @@
         bounds: &SoakBounds,
         findings: &mut Vec<Finding>,
     ) {
-        let mut add = |invariant, detail: String| {
-            let sent = &self.sent;
-            let detail = format!(
-                "{} ({}) at node {}: {detail}",
-                sent.id, sent.request_line, sent.node
-            );
-            findings.push(Finding { invariant, detail });
-        };
         for run in &self.runs {
-            if run.line != self.sent.request_line || run.body != self.sent.body {
-                add(
-                    Invariant::OnlyAsked,
-                    format!(
-                        "{} ran {} with another request line or body",
-                        run.instance, run.line
-                    ),
-                );
-            }
-            if let Some((invariant, detail)) =
-                soak_keys::check_run(&self.sent, run, history, bounds)
-            {
-                add(invariant, detail);
-            }
-            if let Some(detail) = self.work_after_drain(run, history, bounds) {
-                add(Invariant::Drained, detail);
-            }
-            if let Some(detail) = self.work_in_zone_out(run, history, bounds) {
-                add(Invariant::ZoneOut, detail);
-            }
+            self.check_run(run, history, bounds, findings);
         }
-        let once = self.sent.kind == RequestKind::Book;
         let runs = self.runs.len();
-        if once && runs > 1 {
-            add(Invariant::AtMostOnce, format!("ran {runs} times"));
+        if self.runs_at_most_once() && runs > 1 {
+            let detail = format!("ran {runs} times");
+            self.add_finding(Invariant::AtMostOnce, &detail, findings);
         }
         match &self.outcome {
             Some((_, RequestOutcome::Answered(answer))) => {
-                if answer.status == UNAUTHENTICATED
-                    && let Some(detail) = soak_keys::refused_key(&self.sent, history, bounds)
-                {
-                    add(Invariant::Revoked, detail);
-                }
-                if once && runs > 0 && answer.guarantees_not_run() {
-                    add(
-                        Invariant::TrueRefusal,
-                        format!(
-                            "refused as not run with status {}, but it ran",
-                            answer.status
-                        ),
-                    );
-                }
-                if answer.is_success()
-                    && let Err(detail) = self.check_answer(answer, history)
-                {
-                    add(Invariant::WholeAnswer, detail);
-                }
-                if let Some(detail) = self.outdated_route(answer, history, bounds) {
-                    add(Invariant::Configured, detail);
-                }
+                self.check_answered(answer, history, bounds, findings);
             }
             Some((at, RequestOutcome::CutOff)) => {
                 let since = self.sent.sent_at.saturating_sub(bounds.store_contact);
                 if runs > 0 && history.without_unplanned_disturbance(self.sent.node, since, *at) {
-                    add(Invariant::NothingCutOff, format!("cut off at {at}"));
+                    let detail = format!("cut off at {at}");
+                    self.add_finding(Invariant::NothingCutOff, &detail, findings);
                 }
             }
             Some((_, RequestOutcome::TimedOut | RequestOutcome::Abandoned)) | None => {}
         }
     }
 
+    fn runs_at_most_once(&self) -> bool {
+        self.sent.kind == RequestKind::Book
+    }
+
+    fn add_finding(&self, invariant: Invariant, detail: &str, findings: &mut Vec<Finding>) {
+        let sent = &self.sent;
+        let detail = format!(
+            "{} ({}) at node {}: {detail}",
+            sent.id, sent.request_line, sent.node
+        );
+        findings.push(Finding { invariant, detail });
+    }
+
+    fn check_run(
+        &self,
+        run: &RunReport,
+        history: &SoakHistory,
+        bounds: &SoakBounds,
+        findings: &mut Vec<Finding>,
+    ) {
+        if run.line != self.sent.request_line || run.body != self.sent.body {
+            let detail = format!(
+                "{} ran {} with another request line or body",
+                run.instance, run.line
+            );
+            self.add_finding(Invariant::OnlyAsked, &detail, findings);
+        }
+        if let Some((invariant, detail)) = soak_keys::check_run(&self.sent, run, history, bounds) {
+            self.add_finding(invariant, &detail, findings);
+        }
+        if let Some(detail) = self.work_after_drain(run, history, bounds) {
+            self.add_finding(Invariant::Drained, &detail, findings);
+        }
+        if let Some(detail) = self.work_in_zone_out(run, history, bounds) {
+            self.add_finding(Invariant::ZoneOut, &detail, findings);
+        }
+    }
+
+    fn check_answered(
+        &self,
+        answer: &ReceivedAnswer,
+        history: &SoakHistory,
+        bounds: &SoakBounds,
+        findings: &mut Vec<Finding>,
+    ) {
+        if answer.status == UNAUTHENTICATED
+            && let Some(detail) = soak_keys::refused_key(&self.sent, history, bounds)
+        {
+            self.add_finding(Invariant::Revoked, &detail, findings);
+        }
+        if self.runs_at_most_once() && !self.runs.is_empty() && answer.guarantees_not_run() {
+            let detail = format!(
+                "refused as not run with status {}, but it ran",
+                answer.status
+            );
+            self.add_finding(Invariant::TrueRefusal, &detail, findings);
+        }
+        if answer.is_success()
+            && let Err(detail) = self.check_body(answer, history)
+        {
+            self.add_finding(Invariant::WholeAnswer, &detail, findings);
+        }
+        if let Some(detail) = self.outdated_route(answer, history, bounds) {
+            self.add_finding(Invariant::Configured, &detail, findings);
+        }
+    }
+
     /// Describes a run at an instance that had been leaving for longer than the drain bound.
     fn work_after_drain(
         &self,
@@ -193,13 +213,13 @@
     }
 
     /// Checks that a success has the body that the upstreams gave to this request, and states the missing shards.
-    fn check_answer(&self, answer: &ReceivedAnswer, history: &SoakHistory) -> Result<(), String> {
+    fn check_body(&self, answer: &ReceivedAnswer, history: &SoakHistory) -> Result<(), String> {
         let run_of = |stamp: &String| self.runs.iter().find(|run| run.stamp == *stamp);
         if self.sent.kind != RequestKind::Query {
             let stamp = answer.stamp().ok_or("the answer has no stamp")?;
             run_of(&stamp)
                 .ok_or_else(|| format!("stamp {stamp} belongs to no run of this request"))?;
-            return check_body(&answer.body, &records_for_stamp(&stamp));
+            return compare_bodies(&answer.body, &records_for_stamp(&stamp));
         }
         let parts = answer.shard_stamps();
         let missing = answer
@@ -234,11 +254,11 @@
             ));
         }
         let bodies: Vec<_> = parts.iter().map(|stamp| records_for_stamp(stamp)).collect();
-        check_body(&answer.body, &merge_records(&bodies, MAX_MERGED_RECORDS))
+        compare_bodies(&answer.body, &merge_records(&bodies, MAX_MERGED_RECORDS))
     }
 }
 
-fn check_body(actual: &str, expected: &str) -> Result<(), String> {
+fn compare_bodies(actual: &str, expected: &str) -> Result<(), String> {
     if actual == expected {
         Ok(())
     } else {
--- a/crates/medlarctl/src/soak_upstreams.rs
+++ b/crates/medlarctl/src/soak_upstreams.rs
@@ -124,10 +124,15 @@
         }
         let mut upstream = self.upstreams.swap_remove(position);
         let result = self.start_instance(&mut upstream, COLD_TIME).await;
+        self.put_back_upstream(position, upstream);
+        result
+    }
+
+    /// Puts an upstream that `swap_remove` took from this position back in its place.
+    fn put_back_upstream(&mut self, position: usize, upstream: FleetUpstream) {
         self.upstreams.push(upstream);
         let last = self.upstreams.len() - 1;
         self.upstreams.swap(position, last);
-        result
     }
 
     /// Starts another instance at another address. The entry of the present one is marked as leaving, or removed if it is
@@ -197,8 +202,6 @@
         let cold_until = self.history.instances[&upstream.instance].cold_until;
         let cold_for = Duration::from_micros(cold_until.saturating_sub(monotonic_micros()));
         self.put_entry(&upstream, EntryState::Ready, cold_for).await;
-        self.upstreams.push(upstream);
-        let last = self.upstreams.len() - 1;
-        self.upstreams.swap(position, last);
+        self.put_back_upstream(position, upstream);
     }
 }
--- a/crates/node/tests/registry_followers.rs
+++ b/crates/node/tests/registry_followers.rs
@@ -390,9 +390,9 @@
 
     follower.events_within(BOUND * 2).await;
 
-    let most = BOUND * 2 / BOUNDS.limits().interval.as_millis() as u32;
+    let calls_of_a_reader = (BOUND * 2).as_millis() / BOUNDS.limits().interval.as_millis();
     let calls = follower.link.call_count();
-    assert!(calls as u128 <= most.as_millis() + 3, "{calls}");
+    assert!(calls as u128 <= calls_of_a_reader + 3, "{calls}");
 }
 
 /// Guards against an entry that a reader refuses and its followers use.
