--- a/crates/core/src/forward_peer_load.rs
+++ b/crates/core/src/forward_peer_load.rs
@@ -6,6 +6,9 @@
 };
 use std::{cmp::Reverse, collections::BTreeSet, net::SocketAddr};
 
+/// Service time of an upstream that works as usual, in percent.
+const USUAL_PERCENT: u32 = 100;
+
 impl Forwarder {
     /// Updates the nodes that observations are sent to.
     pub(crate) fn update_peer_load_members(&mut self, sighting: &FleetSighting) {
@@ -39,7 +42,7 @@
         let load = match &end.outcome {
             ForwardOutcome::Served(_) => {
                 let load = end.report.load.and_then(ReportedLoad::checked);
-                load.map(|load| observed_reply(load, elapsed, attempt.usual_secs))
+                load.map(observed_reply)
             }
             // Counts as a reply that is long overdue, however quickly a connection was refused.
             ForwardOutcome::NotSent | ForwardOutcome::TimedOut => {
@@ -138,10 +141,10 @@
     }
 }
 
-/// What a reply after `elapsed` shows. Upstreams that do not state their service time are judged by the reply time.
-fn observed_reply(load: ReportedLoad, elapsed: Duration, usual_secs: f64) -> ObservedLoad {
-    let measured = || (elapsed.as_secs_f64() / usual_secs / load.reply_factor() * 100.0) as u32;
-    let service_percent = load.service_percent.unwrap_or_else(measured);
+/// What a reply shows. If it does not state the service time, that counts as usual: single reply times vary too much by
+/// chance, and a fleet would report slow upstreams all the time.
+fn observed_reply(load: ReportedLoad) -> ObservedLoad {
+    let service_percent = load.service_percent.unwrap_or(USUAL_PERCENT);
     let queue = f64::from(load.waiting) / f64::from(load.slots) * 100.0;
     ObservedLoad::Replied {
         service_percent: service_percent.clamp(*SERVICE_PERCENT.start(), *SERVICE_PERCENT.end()),
--- a/crates/node/src/engine_task.rs
+++ b/crates/node/src/engine_task.rs
@@ -301,6 +301,7 @@
             Command::WithdrawUnsent(upstream) => {
                 if let Some(handle) = self.upstreams.get(&upstream) {
                     handle.permits.withdraw();
+                    let _ended = handle.tx.send(UpstreamMessage::DropWithdrawn);
                 }
             }
             Command::Probe(upstream) => self.send_to_upstream(upstream, UpstreamMessage::Probe),
--- a/crates/node/src/known_items.rs
+++ b/crates/node/src/known_items.rs
@@ -148,9 +148,10 @@
         }
     }
 
-    /// Removes all items whose keys are not in the set.
+    /// Removes all items whose keys are not in the set, except those that stay in force without one.
     pub(crate) fn retain(&mut self, keys: &HashSet<Arc<str>>) {
-        self.items.retain(|key, _| keys.contains(key));
+        self.items
+            .retain(|key, item| item.is_deleted || keys.contains(key));
         self.removals.retain(|key, _| keys.contains(key));
     }
 
--- a/crates/node/src/registry_contents.rs
+++ b/crates/node/src/registry_contents.rs
@@ -234,6 +234,10 @@
             snapshot, removals, ..
         } = reply;
         if !reply.changes_only {
+            // Entries that became unreadable have not vanished, and must not count when many vanish together.
+            for removal in &removals {
+                self.apply_relayed_removal(removal.clone(), rules.now, rules);
+            }
             let _instances = self.apply_listing(snapshot, ContentSource::Reader, rules);
             // With all items, a reader names only refused entries, which have no grace period.
             for removal in removals {
--- a/crates/node/src/registry_follower.rs
+++ b/crates/node/src/registry_follower.rs
@@ -30,6 +30,8 @@
     GraceEnded,
     /// The reader may no longer be the one to follow.
     FleetChanged,
+    /// The settings have changed.
+    LimitsChanged,
 }
 
 /// Why a follower stops following its reader and reads the store.
@@ -63,7 +65,7 @@
         info!(self.log, "registry_following"; "reader" => %reader, "revision" => self.contents.revision);
         let mut polls = ReaderPolls::start(reader, self.contents.confirmation.clock());
         polls.send(self.next_poll(Duration::ZERO));
-        self.view_age_limit = self.limits().view_age_limit(fastrand::f64());
+        self.apply_limits();
         let fault = loop {
             match self.next_follow_event(&mut polls).await {
                 FollowEvent::Replied(reply) => match self.handle_reply(reader, reply) {
@@ -73,6 +75,7 @@
                 FollowEvent::Lost(fault) => break FollowFault::Lost(fault),
                 FollowEvent::ViewTooOld => break FollowFault::ViewTooOld,
                 FollowEvent::GraceEnded => self.deregister_expired(),
+                FollowEvent::LimitsChanged => self.apply_limits(),
                 FollowEvent::FleetChanged => {
                     self.update_fleet();
                     let source = self.readers.next_source(self.clock.now());
@@ -87,6 +90,15 @@
         self.stop_following(reader, &fault).await;
     }
 
+    /// Applies the limits in force to the following. A node that is reloaded must keep its new bounds at once.
+    fn apply_limits(&mut self) {
+        let limits = *self.limits.borrow_and_update();
+        self.view_age_limit = limits.view_age_limit(fastrand::f64());
+        self.contents
+            .confirmation
+            .set_revoke_within(limits.revoke_within);
+    }
+
     fn next_poll(&self, wait: Duration) -> RegistryPoll {
         RegistryPoll {
             after: self.contents.revision.unwrap_or(0),
@@ -106,6 +118,7 @@
                 Err(fault) => FollowEvent::Lost(fault),
             },
             () = wait_for_change(&mut self.fleet) => FollowEvent::FleetChanged,
+            () = wait_for_change(&mut self.limits) => FollowEvent::LimitsChanged,
         }
     }
 
--- a/crates/node/src/registry_watcher.rs
+++ b/crates/node/src/registry_watcher.rs
@@ -27,7 +27,7 @@
 pub struct RegistryWatcher<R> {
     pub(crate) contents: RegistryContents<R>,
     /// Read anew before each use, because it can change.
-    limits: watch::Receiver<RegistryLimits>,
+    pub(crate) limits: watch::Receiver<RegistryLimits>,
     pub(crate) metrics: ForwardMetrics,
     pub(crate) log: Logger,
     /// Nodes to ask for a snapshot while the registry fails.
--- a/crates/node/src/upstream_task.rs
+++ b/crates/node/src/upstream_task.rs
@@ -30,6 +30,8 @@
     Send(Job),
     /// The reply to this attempt is no longer wanted.
     Cancel(AttemptKey),
+    /// Report the queued jobs whose permits were withdrawn.
+    DropWithdrawn,
     /// Request the upstream's health.
     Probe,
     /// End once all queued and running jobs have ended.
@@ -114,6 +116,7 @@
             message = rx.recv() => match message {
                 Some(UpstreamMessage::Send(job)) => task.enqueue(job).await,
                 Some(UpstreamMessage::Cancel(attempt)) => task.cancel_attempt(attempt).await,
+                Some(UpstreamMessage::DropWithdrawn) => task.dispatch().await,
                 Some(UpstreamMessage::Probe) => task.probe_health(),
                 Some(UpstreamMessage::Retire) | None => task.retire(),
             },
