--- a/crates/node/tests/connections.rs
+++ b/crates/node/tests/connections.rs
@@ -308,6 +308,27 @@
     assert!(requests.try_recv().is_err(), "one request arrives");
 }
 
+/// Guards against a withdrawn sub-request that is reported only when a busy connection becomes free.
+#[actix_rt::test]
+async fn withdrawn_sub_request_is_reported_at_once() {
+    let (address, mut requests) = start_upstream(&[Behaviour::StaySilent; 4]).await;
+    let mut fixture = Fixture::new(address);
+    for _ in 0..4 {
+        fixture.book(Duration::from_secs(5));
+        requests.recv().await;
+    }
+    let waiting = fixture.book(Duration::from_secs(5));
+
+    fixture.permits.withdraw();
+    let sent = fixture.tx.send(UpstreamMessage::DropWithdrawn);
+    let reply = tokio::time::timeout(Duration::from_secs(1), fixture.next_reply()).await;
+
+    assert!(sent.is_ok());
+    let reply = reply.expect("in time");
+    assert_eq!(reply.attempt, waiting);
+    assert!(matches!(reply.outcome, Outcome::NotSent), "{reply:?}");
+}
+
 /// Guards against the same while the connection opens: the body is written only then.
 #[actix_rt::test]
 async fn body_is_not_written_after_its_permit_was_withdrawn() {
--- a/crates/node/tests/registry_followers.rs
+++ b/crates/node/tests/registry_followers.rs
@@ -46,6 +46,7 @@
 struct Node {
     link: RegistryLink,
     messages: mpsc::UnboundedReceiver<ForwardMessage>,
+    limits: watch::Sender<RegistryLimits>,
     tasks: Vec<JoinHandle<()>>,
 }
 
@@ -59,9 +60,10 @@
     ) -> Self {
         let (forward, messages) = mpsc::unbounded_channel();
         let link = registry.link();
+        let (limits, limits_rx) = watch::channel(bounds.limits());
         let watcher = RegistryWatcher::new(
             link.clone(),
-            watch::channel(bounds.limits()).1,
+            limits_rx,
             forward,
             watch::channel(Vec::new()).1,
             ForwardMetrics::register(&prometheus::Registry::new()).expect("unique names"),
@@ -74,6 +76,7 @@
         Self {
             link,
             messages,
+            limits,
             tasks,
         }
     }
@@ -336,6 +339,27 @@
     }
 }
 
+/// Guards against a follower that keeps the bounds from before a reload while its readers are silent.
+#[actix_rt::test]
+async fn reloaded_bounds_apply_while_following() {
+    let registry = FakeRegistry::with_instances(2);
+    let loose = RegistryBounds {
+        contact: BOUND * 5,
+        drain: BOUND * 5,
+        config_apply: BOUND * 5,
+        evacuate: BOUND * 5,
+        revoke: None,
+    };
+    let mut pair = start_pair(&registry, 221, &loose).await;
+    pair.reader.kill();
+
+    pair.follower.limits.send_replace(BOUNDS.limits());
+    registry.remove("i-0");
+    let gone = pair.follower.deregistered("i-0", BOUND * 5).await;
+
+    assert!(gone.is_some_and(|time| time <= BOUND), "{gone:?}");
+}
+
 /// Guards against a follower that trusts a reader which is frozen, is too old to tell its age, has read less than the
 /// follower, or no longer reads.
 #[actix_rt::test]
