Drop late grant requests without a reply of the owner, and state the right owner's delegates

A reply about workspaces of two owners stated the number of one owner's delegates for the other. An update of an upstream's entry dropped an observation that was about to be sent, and queues and silences beyond what receivers accept were sent.

--- a/crates/core/src/forward_peer_load.rs
+++ b/crates/core/src/forward_peer_load.rs
@@ -1,8 +1,11 @@
 //! Observations of upstreams that nodes share: what this node observes, sends and receives.
 
 use crate::{
-    forwarder::ForwardAttempt, peer_evidence::EvidenceChange, peer_load::SERVICE_PERCENT,
-    prelude::*, replica::SHARED_LATE_RATIO,
+    forwarder::ForwardAttempt,
+    peer_evidence::EvidenceChange,
+    peer_load::{MAX_QUEUE_PERCENT, MAX_SILENCE, SERVICE_PERCENT},
+    prelude::*,
+    replica::SHARED_LATE_RATIO,
 };
 use std::{cmp::Reverse, collections::BTreeSet, net::SocketAddr};
 
@@ -50,7 +53,7 @@
                 let elapsed = elapsed.max(overdue);
                 let replica = &self.replicas[attempt.upstream];
                 let is_judged = replica.report_age(now).is_some();
-                is_judged.then_some(ObservedLoad::Silent { elapsed })
+                is_judged.then_some(silent_for(elapsed))
             }
             _ => None,
         };
@@ -128,7 +131,7 @@
         };
         let silent: Vec<_> = in_use.into_iter().filter_map(overdue).collect();
         for (key, elapsed) in silent {
-            self.record_own_observation(now, key, ObservedLoad::Silent { elapsed });
+            self.record_own_observation(now, key, silent_for(elapsed));
         }
     }
 
@@ -148,7 +151,14 @@
     let queue = f64::from(load.waiting) / f64::from(load.slots) * 100.0;
     ObservedLoad::Replied {
         service_percent: service_percent.clamp(*SERVICE_PERCENT.start(), *SERVICE_PERCENT.end()),
-        queue_percent: queue as u32,
+        queue_percent: (queue as u32).min(MAX_QUEUE_PERCENT),
+    }
+}
+
+/// A silence, of at most the length that other nodes accept.
+fn silent_for(elapsed: Duration) -> ObservedLoad {
+    ObservedLoad::Silent {
+        elapsed: elapsed.min(MAX_SILENCE),
     }
 }
 
--- a/crates/core/src/forwarder.rs
+++ b/crates/core/src/forwarder.rs
@@ -427,8 +427,11 @@
         commands: &mut Vec<ForwardCommand>,
     ) {
         let replica = &mut self.replicas[key];
-        self.peer_load.remove(replica.digest);
+        let digest = replica.digest;
         let event = replica.update_entry(now, entry);
+        if replica.digest != digest {
+            self.peer_load.remove(digest);
+        }
         self.peer_load.insert(replica.digest, key);
         if let Some(event) = event {
             let change = replica.apply_event(&self.replica_chart, now, event, warm_up);
--- a/crates/core/src/peer_load.rs
+++ b/crates/core/src/peer_load.rs
@@ -19,13 +19,13 @@
 pub(crate) const MAX_OBSERVATION_AGE: Duration = Duration::from_secs(2);
 
 /// Longest silence that an observation may state. Upstreams are suspect long before.
-const MAX_SILENCE: Duration = Duration::from_secs(30);
+pub(crate) const MAX_SILENCE: Duration = Duration::from_secs(30);
 
 /// Service times in percent of the usual one that an observation may state.
 pub(crate) const SERVICE_PERCENT: RangeInclusive<u32> = 10..=2_000;
 
 /// Longest queue that an observation may state, in percent of the slots.
-const MAX_QUEUE_PERCENT: u32 = 100_000;
+pub(crate) const MAX_QUEUE_PERCENT: u32 = 100_000;
 
 /// Service time in percent of the usual one from which an upstream is slow.
 const SLOW_PERCENT: u32 = 180;
--- a/crates/core/src/workspace_quotas.rs
+++ b/crates/core/src/workspace_quotas.rs
@@ -106,6 +106,13 @@
     request: GrantRequest,
 }
 
+impl ParkedRequest {
+    /// Whether its sender no longer waits for the reply.
+    fn is_late(&self, now: Timestamp) -> bool {
+        now.since(self.sender.received_at) >= MAX_WAIT
+    }
+}
+
 /// State of one workspace's share, for logs and dry runs.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct QuotaShareStatus {
@@ -350,12 +357,15 @@
         requests: &[GrantRequest],
         outgoing: &mut Vec<OutgoingQuotaMessage>,
     ) {
-        let delegates = self.delegates_to_state(now, to_delegate, requests);
         let grants = if to_delegate {
             self.hand_on_all(now, sender, requests, outgoing)
         } else {
             self.grant_all(now, requests)
         };
+        // The sender applies the number to the owner of the first grant's workspace.
+        let workspace = grants.first().filter(|_| to_delegate);
+        let workspace = workspace.map(|grant| Arc::clone(&grant.workspace));
+        let delegates = self.delegates_to_state(now, workspace.as_ref());
         if !grants.is_empty() || !to_delegate {
             outgoing.push(sender.reply(delegates, grants));
         }
@@ -499,7 +509,8 @@
         source: GrantSource,
         workspace: &Arc<str>,
     ) -> Option<GrantRequest> {
-        let parked = self.parked.iter().map(|parked| &parked.request);
+        let parked = self.parked.iter().filter(|parked| !parked.is_late(now));
+        let parked = parked.map(|parked| &parked.request);
         let parked = parked.filter(|request| request.workspace == *workspace);
         let parked: u32 = parked.map(|request| request.wanted).sum();
         let waiting = self.waiting.get(workspace).copied().unwrap_or_default();
@@ -562,7 +573,7 @@
                 share.record_demand(now, request.wanted);
                 match self.hand_on(now, request) {
                     Some(grant) => grants.push(grant),
-                    None => self.park(*sender, request),
+                    None => self.park(now, *sender, request),
                 }
                 self.request_grants(now, &request.workspace, outgoing);
             }
@@ -584,7 +595,9 @@
         })
     }
 
-    fn park(&mut self, sender: RequestSender, request: &GrantRequest) {
+    fn park(&mut self, now: Timestamp, sender: RequestSender, request: &GrantRequest) {
+        // An owner that is silent, or is this node by now, sends no reply upon which late ones would be dropped.
+        self.parked.retain(|parked| !parked.is_late(now));
         if self.parked.len() < MAX_PARKED {
             let request = request.clone();
             self.parked.push(ParkedRequest { sender, request });
@@ -594,31 +607,22 @@
     /// Replies to parked requests that can be decided now, and drops those whose sender no longer waits.
     fn serve_parked(&mut self, now: Timestamp, outgoing: &mut Vec<OutgoingQuotaMessage>) {
         for parked in std::mem::take(&mut self.parked) {
-            let is_late = now.since(parked.sender.received_at) >= MAX_WAIT;
-            if is_late || !self.has_quota(&parked.request.workspace) {
+            if parked.is_late(now) || !self.has_quota(&parked.request.workspace) {
                 continue;
             }
             let Some(grant) = self.hand_on(now, &parked.request) else {
                 self.parked.push(parked);
                 continue;
             };
-            let delegates =
-                self.delegates_to_state(now, true, std::slice::from_ref(&parked.request));
+            let delegates = self.delegates_to_state(now, Some(&parked.request.workspace));
             outgoing.push(parked.sender.reply(delegates, vec![grant]));
         }
     }
 
-    /// Number of delegates to state in a reply: this node's own as an owner, or those of the owner that it is a delegate of.
-    fn delegates_to_state(
-        &mut self,
-        now: Timestamp,
-        is_delegate: bool,
-        requests: &[GrantRequest],
-    ) -> u32 {
-        let Some(request) = requests.first().filter(|_| is_delegate) else {
-            return self.owner.delegates(now, &self.fleet);
-        };
-        let owner = self.fleet.owner(now, &request.workspace);
+    /// Number of delegates to state in a reply: those of the owner of the workspace that this node is a delegate for, or
+    /// its own if there is none.
+    fn delegates_to_state(&mut self, now: Timestamp, workspace: Option<&Arc<str>>) -> u32 {
+        let owner = workspace.and_then(|workspace| self.fleet.owner(now, workspace));
         match owner {
             Some(owner) if !self.fleet.is_own(owner) => self.contact(owner).delegates(now),
             _ => self.owner.delegates(now, &self.fleet),
