Choose readers of the registry sooner, and share observations only where service times are stated

Readers are chosen after three seconds without a new member: nodes whose views still differ only read more often, or follow a follower, which the age of the view covers.

Without stated service times nothing is observed or sent any more, so that these deployments are served as before.

--- a/crates/core/src/forward_peer_load.rs
+++ b/crates/core/src/forward_peer_load.rs
@@ -38,15 +38,16 @@
         attempt: &ForwardAttempt,
         end: &AttemptEnd,
     ) {
+        let reported = end.report.load.and_then(ReportedLoad::checked);
+        if reported.is_some_and(|load| load.service_percent.is_some()) {
+            self.peer_load.note_service_time();
+        }
         if !self.peer_load.is_enabled() {
             return;
         }
         let elapsed = now.since(attempt.sent);
         let load = match &end.outcome {
-            ForwardOutcome::Served(_) => {
-                let load = end.report.load.and_then(ReportedLoad::checked);
-                load.map(observed_reply)
-            }
+            ForwardOutcome::Served(_) => reported.map(observed_reply),
             // Counts as a reply that is long overdue, however quickly a connection was refused.
             ForwardOutcome::NotSent | ForwardOutcome::TimedOut => {
                 let overdue = Duration::from_secs_f64(attempt.usual_secs * SHARED_LATE_RATIO);
--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -40,6 +40,10 @@
 /// Time since the last new member after which the fleet counts as stable.
 const STABLE_AFTER: Duration = Duration::from_secs(10);
 
+/// Time since the last new member after which the readers of the registry are chosen: a few heartbeats. Nodes whose views
+/// still differ only read more often or follow a follower, so that this time is shorter than [`STABLE_AFTER`].
+const READERS_CHOSEN_AFTER: Duration = Duration::from_secs(3);
+
 /// Time for which a silent member still counts. During a network partition a node must not underestimate the fleet: the
 /// limits are sums over all nodes, including those on the other side.
 const MEMBER_RETENTION: Duration = Duration::from_mins(1);
@@ -168,7 +172,7 @@
     pub fn registry_fleet(&mut self, now: Timestamp) -> RegistryFleet {
         RegistryFleet {
             sighting: self.sighting(now),
-            is_stable: self.is_stable(now),
+            is_stable: now.since(self.last_growth) >= READERS_CHOSEN_AFTER,
         }
     }
 
--- a/crates/core/src/peer_load_sender.rs
+++ b/crates/core/src/peer_load_sender.rs
@@ -42,6 +42,8 @@
     own: Option<SocketAddr>,
     /// Other nodes that were heard recently.
     members: Vec<SocketAddr>,
+    /// Whether an upstream has stated its service time.
+    knows_service_times: bool,
     /// Replicas with observations that are to be passed on.
     pending: BTreeSet<UpstreamKey>,
     next_send: Timestamp,
@@ -61,6 +63,7 @@
             replicas: HashMap::new(),
             own: None,
             members: Vec::new(),
+            knows_service_times: false,
             pending: BTreeSet::new(),
             next_send: Timestamp::ZERO,
             next_check: Timestamp::ZERO,
@@ -98,9 +101,14 @@
         }
     }
 
-    /// Whether the fleet is large enough for observations to be shared.
+    /// Whether observations are shared: in a large fleet whose upstreams state their service times.
     pub(crate) fn is_enabled(&self) -> bool {
-        self.members.len() + 1 >= MIN_FLEET_SIZE
+        self.knows_service_times && self.members.len() + 1 >= MIN_FLEET_SIZE
+    }
+
+    /// Notes that an upstream has stated its service time.
+    pub(crate) fn note_service_time(&mut self) {
+        self.knows_service_times = true;
     }
 
     /// Whether this is the address of this node.
