Compute a reply time, a sighting and a quota's source once, and handle refused entries in the listing

The expected reply time was computed with the cost of a failure, which was then computed again and subtracted; a candidate of the draw computed that cost twice. Each heartbeat built the list of members twice. A node that owns a quota looked up the source of its grants twice, and the owner with it. The reply with all items of a reader was applied with its refused entries before and after the listing; now the listing takes them. The rule for which nodes may own a quota, the urgency of a rank, and the avoidance of a reader each stand in one place.

Behaviour is the same.

--- a/crates/core/src/attempt_gain.rs
+++ b/crates/core/src/attempt_gain.rs
@@ -20,7 +20,8 @@
 }
 
 impl AttemptGain {
-    /// Share of the budget that must remain after the attempt, for attempts that gain more.
+    /// Share of the budget that must remain after the attempt, for attempts that gain more. A late hedge needs more of it
+    /// than a trial, which may bring back an upstream for many requests.
     pub(crate) fn reserve_share(self) -> f64 {
         match self {
             Self::Late => 0.4,
--- a/crates/core/src/forward_admission.rs
+++ b/crates/core/src/forward_admission.rs
@@ -23,7 +23,7 @@
 const MAX_QUEUE_SHARES: (f64, f64) = (1.0, 0.7);
 
 /// Rank up to which a route is urgent, so that its requests are refused last.
-pub(crate) const MAX_URGENT_RANK: u32 = 1;
+const MAX_URGENT_RANK: u32 = 1;
 
 /// A request that awaits admission.
 #[derive(Clone, Debug)]
@@ -362,11 +362,7 @@
             return true;
         };
         let (urgent, others) = MAX_QUEUE_SHARES;
-        let share = if rank <= MAX_URGENT_RANK {
-            urgent
-        } else {
-            others
-        };
+        let share = if is_urgent(rank) { urgent } else { others };
         let max_queue_secs = times.objective_secs() * share;
         let fitting = shards.iter().filter(|shard| {
             let replicas = self.services[shard.service].replicas.iter();
@@ -436,6 +432,11 @@
     });
 }
 
+/// Whether requests of this rank are urgent.
+pub(crate) fn is_urgent(rank: u32) -> bool {
+    rank <= MAX_URGENT_RANK
+}
+
 /// Merge for the answers of a route's shards; `None` if the route has no shards.
 fn new_merge(route: &Route) -> Option<ShardMerge> {
     match &route.target {
--- a/crates/core/src/forward_peer_load.rs
+++ b/crates/core/src/forward_peer_load.rs
@@ -13,11 +13,6 @@
 const USUAL_PERCENT: u32 = 100;
 
 impl Forwarder {
-    /// Updates the nodes that observations are sent to.
-    pub(crate) fn update_peer_load_members(&mut self, sighting: &FleetSighting) {
-        self.peer_load.update_members(sighting);
-    }
-
     /// Forgets what was observed before an interruption, whose age is not known.
     pub(crate) fn forget_peer_load(&mut self, now: Timestamp) {
         self.peer_load.interrupt(now);
--- a/crates/core/src/forward_placement.rs
+++ b/crates/core/src/forward_placement.rs
@@ -52,13 +52,12 @@
             .or_else(|| self.due_suspect(now, flow, shard))
             .ok_or(SendDenial::NoUpstream)?;
         let replica = &self.replicas[upstream];
-        let expected = replica.expected_reply(now, times);
-        let failure_cost = replica.failure_cost(now, times);
+        let reply_time = replica.reply_time(now, times);
         Ok(Placement {
             upstream,
             is_trial: chosen.is_none(),
-            expected,
-            reply_time: expected.saturating_sub(failure_cost),
+            expected: reply_time.saturating_add(replica.failure_cost(now, times)),
+            reply_time,
             report_age: replica.report_age(now),
         })
     }
@@ -179,12 +178,8 @@
         };
         let candidates = accepting.iter().map(|key| {
             let replica = &self.replicas[*key];
-            replica.candidate(
-                now,
-                *key,
-                self.settings.is_own_zone(&replica.entry.zone),
-                times,
-            )
+            let in_own_zone = self.settings.is_own_zone(&replica.entry.zone);
+            replica.candidate(now, *key, in_own_zone, times)
         });
         self.draw.candidates.clear();
         self.draw.candidates.extend(candidates);
--- a/crates/core/src/forward_sends.rs
+++ b/crates/core/src/forward_sends.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     attempt_gain::ExtraAttempt,
-    forward_admission::MAX_URGENT_RANK,
+    forward_admission::is_urgent,
     forward_chart::{FlowEvent, FlowState},
     forward_placement::Placement,
     forwarder::ForwardAttempt,
@@ -137,7 +137,7 @@
         let attempts = &flow.shards[shard];
         let attempt = ExtraAttempt {
             cause,
-            is_urgent: flow.rank <= MAX_URGENT_RANK,
+            is_urgent: is_urgent(flow.rank),
             expected_shards: flow.expected_shards(now, shard),
             needed_shards: flow.merge.is_some().then(|| flow.route().needed_shards()),
             time_left: flow.time_left(now),
--- a/crates/core/src/forwarder.rs
+++ b/crates/core/src/forwarder.rs
@@ -273,7 +273,7 @@
             ForwardEvent::ShutdownBegan(schedule) => self.begin_shutdown(schedule),
             ForwardEvent::FleetSize(size) => self.fleet_size = size.max(1),
             ForwardEvent::FleetSighted(sighting) => {
-                self.update_peer_load_members(&sighting);
+                self.peer_load.update_members(&sighting);
                 self.update_quota_fleet(now, &sighting);
             }
             ForwardEvent::Interrupted => {
--- a/crates/core/src/quota_fleet.rs
+++ b/crates/core/src/quota_fleet.rs
@@ -133,10 +133,20 @@
     /// Node to ask for grants of a workspace; `None` before the first update.
     pub fn owner(&mut self, now: Timestamp, workspace: &Arc<str>) -> Option<SocketAddr> {
         let own = self.own?;
-        let silence = self.failure_timeout();
         self.update_order(own, workspace);
-        let mut order = self.orders[workspace].iter().copied();
-        order.find(|node| *node == own || self.silent_for(now, *node) < silence * OWNER_SILENCES)
+        self.heard_nodes(now, own, workspace).next()
+    }
+
+    /// Nodes that may own a workspace, this one included, in the workspace's order. The first one is the owner.
+    fn heard_nodes(
+        &self,
+        now: Timestamp,
+        own: SocketAddr,
+        workspace: &Arc<str>,
+    ) -> impl Iterator<Item = SocketAddr> {
+        let silence = self.failure_timeout() * OWNER_SILENCES;
+        let order = self.orders[workspace].iter().copied();
+        order.filter(move |node| *node == own || self.silent_for(now, *node) < silence)
     }
 
     /// Delegates of the owner of a workspace that this node may ask, the preferred one first. There are `count` of them:
@@ -150,11 +160,8 @@
         let Some(own) = self.own.filter(|_| count > 0) else {
             return Vec::new();
         };
-        let silence = self.failure_timeout() * OWNER_SILENCES;
         self.update_order(own, workspace);
-        let order = self.orders[workspace].iter().copied();
-        let heard = order.filter(|node| *node == own || self.silent_for(now, *node) < silence);
-        let heard: Vec<_> = heard.collect();
+        let heard: Vec<_> = self.heard_nodes(now, own, workspace).collect();
         let count = count as usize;
         let own_rank = heard.iter().position(|node| *node == own);
         let Some(own_rank) = own_rank.filter(|rank| *rank > count) else {
--- a/crates/core/src/registry_entries.rs
+++ b/crates/core/src/registry_entries.rs
@@ -3,7 +3,7 @@
 use crate::prelude::*;
 use std::collections::{HashMap, HashSet};
 
-/// What registers an upstream.
+/// Whether an entry that registers an upstream says anything new.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum EntryChange {
     /// The upstream is new, or something of its entry has changed that nodes use.
--- a/crates/core/src/registry_readers.rs
+++ b/crates/core/src/registry_readers.rs
@@ -187,8 +187,8 @@
         self.lost += 1;
         if self.lost > MAX_READERS_LOST {
             self.handle_expiry(now);
-        } else if let Some(reader) = self.followed {
-            self.avoided.insert(reader, now + AVOIDANCE);
+        } else if self.followed.is_some() {
+            self.avoid_followed(now);
             self.followed = self.usable_reader(now);
             if self.followed.is_none() {
                 self.apply(now, RegistrySourceEvent::Expired);
@@ -201,18 +201,21 @@
         self.apply(now, RegistrySourceEvent::Expired);
     }
 
+    fn avoid_followed(&mut self, now: Timestamp) {
+        let until = now + AVOIDANCE;
+        self.avoided
+            .extend(self.followed.map(|reader| (reader, until)));
+    }
+
     fn apply(&mut self, now: Timestamp, event: RegistrySourceEvent) {
         let step = self.chart.step(self.state, event, |guard| match guard {});
-        for action in step.actions {
+        let (next, actions) = (step.next, step.actions.to_vec());
+        for action in actions {
             match action {
-                RegistrySourceAction::AvoidReader => {
-                    let reader = self.followed;
-                    self.avoided
-                        .extend(reader.map(|reader| (reader, now + AVOIDANCE)));
-                }
+                RegistrySourceAction::AvoidReader => self.avoid_followed(now),
             }
         }
-        self.state = step.next;
+        self.state = next;
         if self.state != RegistrySourceState::Following {
             self.followed = None;
         }
--- a/crates/core/src/rendezvous.rs
+++ b/crates/core/src/rendezvous.rs
@@ -48,8 +48,8 @@
     nodes.sort_by_cached_key(|node| Reverse((weight(key, &node.to_string()), *node)));
 }
 
-/// Weight of a node for a key, such as the name of an upstream. SHA-256 gives the same value on every node and in every version of the program,
-/// which the standard hasher does not guarantee.
+/// Weight of a node for a key, such as the name of an upstream. SHA-256 gives the same value on every node and in every
+/// version of the program, which the standard hasher does not guarantee.
 fn weight(key: &str, node: &str) -> u64 {
     let mut hasher = Sha256::new();
     hasher.update((key.len() as u64).to_be_bytes());
--- a/crates/core/src/replica.rs
+++ b/crates/core/src/replica.rs
@@ -295,7 +295,10 @@
             load,
             expected_requests: self.expected_load(now).requests(),
             running: self.running.len(),
-            expected_reply: times.map(|times| self.expected_reply(now, times)),
+            expected_reply: times.map(|times| {
+                let failure_cost = self.failure_cost(now, times);
+                self.reply_time(now, times).saturating_add(failure_cost)
+            }),
             slowness: self.slowness(now),
             failure_rate: self.failure_rate(now),
             advised_against_for: (self.avoid_until > now).then(|| self.avoid_until.since(now)),
@@ -307,8 +310,13 @@
         self.state == ReplicaState::Suspect && self.trial_at <= now && self.rest_until <= now
     }
 
-    /// Expected time to a reply, plus the cost of its likely failure.
+    /// Expected time to a reply, plus the cost of its likely failure, without regard to its reports.
     pub(crate) fn expected_reply_secs(&self, now: Timestamp, times: &ReplyTimes) -> f64 {
+        self.unreported_reply_secs(now, times) + self.failure_cost_secs(now, times)
+    }
+
+    /// Expected time to a reply, without regard to its reports.
+    fn unreported_reply_secs(&self, now: Timestamp, times: &ReplyTimes) -> f64 {
         let service_time = times.mean_secs() * self.slowness(now);
         // Prefers an idle upstream slightly to a busy one.
         let slots = self.entry.slots.max(1);
@@ -319,20 +327,20 @@
             Some(secs) => secs + MIN_REMAINING_PAUSE_SECS,
             None => 0.0,
         };
-        time + pause + self.failure_cost_secs(now, times)
+        time + pause
     }
 
     /// Expected time to a reply, judged by its reports if it has sent any.
-    pub(crate) fn expected_reply(&self, now: Timestamp, times: &ReplyTimes) -> Duration {
+    pub(crate) fn reply_time(&self, now: Timestamp, times: &ReplyTimes) -> Duration {
         let secs = if self.load.latest().is_some() {
-            self.expected_reported_secs(now, times)
+            self.reported_reply_secs(now, times)
         } else {
-            self.expected_reply_secs(now, times)
+            self.unreported_reply_secs(now, times)
         };
         duration_from_secs(secs)
     }
 
-    /// Cost of its likely failure, as contained in the expected time.
+    /// Cost of its likely failure, which is added to the time to a reply in the choice.
     pub(crate) fn failure_cost(&self, now: Timestamp, times: &ReplyTimes) -> Duration {
         duration_from_secs(self.failure_cost_secs(now, times))
     }
@@ -351,17 +359,18 @@
         times: &ReplyTimes,
     ) -> Candidate {
         let free_slots = self.expected_load(now).free_slots();
+        let failure_secs = self.failure_cost_secs(now, times);
         Candidate {
             upstream,
             in_own_zone,
-            expected_secs: self.expected_reported_secs(now, times),
-            failure_secs: self.failure_cost_secs(now, times),
+            expected_secs: self.reported_reply_secs(now, times) + failure_secs,
+            failure_secs,
             free_capacity: free_slots / self.service_secs(now, times),
         }
     }
 
-    /// Expected time to a reply, judged by its reports, plus the cost of its likely failure.
-    fn expected_reported_secs(&self, now: Timestamp, times: &ReplyTimes) -> f64 {
+    /// Expected time to a reply, judged by its reports.
+    fn reported_reply_secs(&self, now: Timestamp, times: &ReplyTimes) -> f64 {
         let rounds_ahead = self.expected_load(now).rounds_ahead();
         let time = self.service_secs(now, times) * (1.0 + rounds_ahead);
         let late_after = duration_from_secs(time * REPORTED_LATE_RATIO);
@@ -370,7 +379,7 @@
         let excess = self
             .peers
             .excess_secs(now, usual_secs, own, self.last_reply_at);
-        own + excess + self.failure_cost_secs(now, times)
+        own + excess
     }
 
     /// Oldest attempt in flight.
--- a/crates/core/src/workspace_quotas.rs
+++ b/crates/core/src/workspace_quotas.rs
@@ -272,7 +272,7 @@
             return;
         };
         if source.is_own {
-            return self.grant_to_itself(now, workspace);
+            return self.grant_to_itself(now, source, workspace);
         }
         if !self.has_request_token(now) {
             return;
@@ -400,7 +400,7 @@
     fn source(&mut self, now: Timestamp, workspace: &Arc<str>) -> Option<GrantSource> {
         let owner = self.fleet.owner(now, workspace)?;
         let is_own = self.fleet.is_own(owner);
-        let delegates = self.delegates(now, workspace);
+        let delegates = self.delegates(now, owner, workspace);
         let accepts = |node: &SocketAddr| self.contact(*node).accepts_as_delegate(now);
         if let Some(node) = delegates.iter().copied().find(accepts) {
             return Some(GrantSource {
@@ -422,11 +422,13 @@
         })
     }
 
-    /// Delegates that this node may ask for grants of a workspace, the preferred one first.
-    fn delegates(&mut self, now: Timestamp, workspace: &Arc<str>) -> Vec<SocketAddr> {
-        let Some(owner) = self.fleet.owner(now, workspace) else {
-            return Vec::new();
-        };
+    /// Delegates that this node may ask for grants of a workspace of this owner, the preferred one first.
+    fn delegates(
+        &mut self,
+        now: Timestamp,
+        owner: SocketAddr,
+        workspace: &Arc<str>,
+    ) -> Vec<SocketAddr> {
         let share = self.shares.get(workspace);
         if self.fleet.is_own(owner) || share.is_some_and(|share| share.is_large(now)) {
             return Vec::new();
@@ -437,7 +439,10 @@
 
     /// Whether a delegate has something to hand on, now or in a moment.
     fn has_delegate(&mut self, now: Timestamp, workspace: &Arc<str>) -> bool {
-        let delegates = self.delegates(now, workspace);
+        let Some(owner) = self.fleet.owner(now, workspace) else {
+            return false;
+        };
+        let delegates = self.delegates(now, owner, workspace);
         delegates
             .into_iter()
             .any(|node| self.contact(node).is_delegate(now))
@@ -527,10 +532,7 @@
     }
 
     /// Grants what this node needs of a workspace that it owns.
-    fn grant_to_itself(&mut self, now: Timestamp, workspace: &Arc<str>) {
-        let Some(own) = self.source(now, workspace) else {
-            return;
-        };
+    fn grant_to_itself(&mut self, now: Timestamp, own: GrantSource, workspace: &Arc<str>) {
         let id = self.next_id;
         let Some(request) = self.due_request(now, id, own, workspace) else {
             return;
--- a/crates/node/src/member_task.rs
+++ b/crates/node/src/member_task.rs
@@ -108,9 +108,9 @@
             },
             () = tokio::time::sleep_until(next_heartbeat) => {
                 let (targets, heartbeat) = membership.next_heartbeat(clock.now());
-                let sighting = membership.sighting(clock.now());
-                channels.send_event(ForwardEvent::FleetSighted(sighting));
-                channels.registry_fleet.send_replace(Some(membership.registry_fleet(clock.now())));
+                let fleet = membership.registry_fleet(clock.now());
+                channels.send_event(ForwardEvent::FleetSighted(fleet.sighting.clone()));
+                channels.registry_fleet.send_replace(Some(fleet));
                 let interval = if heartbeat.answer_wanted { DISCOVERY_INTERVAL } else { HEARTBEAT_INTERVAL };
                 next_heartbeat = tokio::time::Instant::now() + interval;
                 for target in targets {
--- a/crates/node/src/registry_contents.rs
+++ b/crates/node/src/registry_contents.rs
@@ -155,20 +155,22 @@
 
     /// Applies what the registry itself lists.
     pub(crate) fn apply_own_listing(&mut self, listing: Snapshot, rules: GraceRules<'_>) {
-        let instances = self.apply_listing(listing, ContentSource::Registry, rules);
+        let instances = self.apply_listing(listing, Vec::new(), ContentSource::Registry, rules);
         self.entries.retain_histories(&instances);
     }
 
     /// Applies another node's snapshot, which confirms nothing. Its instances don't tell which ones the registry has: nodes
     /// don't pass on entries that they refused.
     pub(crate) fn apply_snapshot(&mut self, snapshot: Snapshot, rules: GraceRules<'_>) {
-        let _instances = self.apply_listing(snapshot, ContentSource::Snapshot, rules);
+        let _instances = self.apply_listing(snapshot, Vec::new(), ContentSource::Snapshot, rules);
     }
 
-    /// Applies a complete set of items. Returns the instances that have an entry in it, readable or not.
+    /// Applies a complete set of items, and the items that the source has refused. Returns the instances that have an entry
+    /// in the set, readable or not.
     fn apply_listing(
         &mut self,
         listing: Snapshot,
+        refused: Vec<RelayedRemoval>,
         source: ContentSource,
         rules: GraceRules<'_>,
     ) -> HashSet<Arc<str>> {
@@ -186,6 +188,11 @@
             listed.record(&item.key, &document);
             self.apply_write(item, document, source);
         }
+        // Before the absent entries are counted: a refused one has not vanished.
+        for removal in refused {
+            listed.keys.insert(Arc::clone(&removal.key));
+            self.apply_relayed_removal(removal, rules.now, rules);
+        }
         let ListedKeys {
             keys,
             registered,
@@ -234,15 +241,8 @@
             snapshot, removals, ..
         } = reply;
         if !reply.changes_only {
-            // Entries that became unreadable have not vanished, and must not count when many vanish together.
-            for removal in &removals {
-                self.apply_relayed_removal(removal.clone(), rules.now, rules);
-            }
-            let _instances = self.apply_listing(snapshot, ContentSource::Reader, rules);
-            // With all items, a reader names only refused entries, which have no grace period.
-            for removal in removals {
-                self.apply_relayed_removal(removal, rules.now, rules);
-            }
+            // With all items, a reader names only refused entries.
+            let _instances = self.apply_listing(snapshot, removals, ContentSource::Reader, rules);
             return;
         }
         self.record_revision(snapshot.revision);
