--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -110,6 +110,7 @@
 mod peer_evidence;
 mod peer_load_sender;
 mod query;
+mod quota_replies;
 mod replica;
 mod reply_times;
 mod request_quarantine;
