Share the fixtures and the event queue of the forwarder's simulations

The simulation of extra attempts and the bench of choices had written again the settings, routes, upstreams, requests and replies of the forwarding tests, and the queue of events of the placement simulation. The fixtures move from the harness to forward_fixtures.rs, the queue to event_queue.rs, and the placement tests use both.

--- a/crates/core/benches/choices.rs
+++ b/crates/core/benches/choices.rs
@@ -1,8 +1,12 @@
 //! Processing time of a forwarded request by number of shards: the choice of a replica for each shard, with and without
 //! load reports. There is no network.
 
-use bytes::Bytes;
+#[expect(dead_code, reason = "the bench uses a part of the fixtures")]
+#[path = "../tests/forwarding/forward_fixtures.rs"]
+mod forward_fixtures;
+
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
+use forward_fixtures::{request, route, served_reply, settings, shards_target, table, upstream};
 use medlarpost_core::prelude::*;
 use std::time::Instant;
 
@@ -24,20 +28,20 @@
 }
 
 fn configured_node(shards: usize, load: Option<ReportedLoad>) -> Node {
-    let route = route(shards);
+    let route = route("search", shards_target(shards, 0.8));
     let services = route.services();
     let mut node = Node {
         forwarder: Forwarder::new(settings()).expect("the charts are valid"),
         now: Timestamp::from_millis(1),
         callers: SlotMap::with_key(),
         commands: Vec::new(),
-        request: Arc::new(request()),
+        request: Arc::new(request("/search/1")),
         load,
     };
-    node.handle(ForwardEvent::Configured(table(route)));
+    node.handle(ForwardEvent::Configured(table(1, vec![route])));
     for service in &services {
         for zone in ZONES {
-            node.handle(ForwardEvent::UpstreamRegistered(entry(service, zone)));
+            node.handle(ForwardEvent::UpstreamRegistered(upstream(service, zone)));
         }
     }
     node.commands.clear();
@@ -79,12 +83,7 @@
 fn served(attempt: AttemptKey, load: Option<ReportedLoad>) -> AttemptEnd {
     AttemptEnd {
         attempt,
-        outcome: ForwardOutcome::Served(UpstreamReply {
-            status: 200,
-            fields: Vec::new(),
-            proof: Some(Bytes::from_static(b"proof")),
-            body: Bytes::new(),
-        }),
+        outcome: served_reply(b""),
         report: UpstreamReport {
             load,
             ..UpstreamReport::default()
@@ -92,86 +91,6 @@
     }
 }
 
-fn settings() -> ForwarderSettings {
-    ForwarderSettings {
-        zone: ZONES[0].into(),
-        regions: ZONES.map(|zone| (zone.into(), "r-1".into())).into(),
-        limits: FleetLimits {
-            extra_ratio: 0.2,
-            extra_slack: 50.0,
-            extra_window: Duration::from_secs(10),
-            cold_excess: 1.5,
-            cold_slack: 5.0,
-            quotas: None,
-        },
-        cross_zone_cost: 0.2,
-        answer_margin: Duration::from_millis(10),
-        initial_fleet_size: 1,
-        revoke_within: None,
-        seed: 1,
-    }
-}
-
-fn route(shards: usize) -> Route {
-    Route {
-        name: "search".into(),
-        host: "search.example".to_owned(),
-        prefix: "/search/".to_owned(),
-        idempotent: true,
-        timeout: Duration::from_millis(800),
-        objective: Duration::from_millis(120),
-        max_attempts: 2,
-        rank: 1,
-        public: false,
-        regions: Vec::new(),
-        target: Target::Shards(ShardTarget {
-            services: (0..shards).map(|i| format!("shard-{i}").into()).collect(),
-            limit: 10,
-            min_coverage: 0.8,
-        }),
-    }
-}
-
-fn table(route: Route) -> Arc<RoutingTable> {
-    let settings = |name| {
-        let settings = ServiceSettings {
-            max_connections: 30,
-            warm_up: Duration::from_secs(3),
-            cold_rate: Some(4.0),
-        };
-        (name, settings)
-    };
-    let services = route.services().into_iter().map(settings).collect();
-    let limits = CallerLimits::default();
-    Arc::new(RoutingTable::new(1, vec![route], services, limits))
-}
-
-fn entry(service: &str, zone: &str) -> RegisteredUpstream {
-    RegisteredUpstream {
-        instance: format!("{service}@{zone}").into(),
-        service: service.into(),
-        address: "127.0.0.1:9".parse().expect("a valid address"),
-        zone: zone.into(),
-        slots: 3,
-        leaving: false,
-        cold_for: Duration::ZERO,
-        started_at_ms: 1,
-    }
-}
-
-fn request() -> ForwardRequest {
-    ForwardRequest {
-        id: "request-1".into(),
-        host: "search.example".to_owned(),
-        method: "GET".to_owned(),
-        target: "/search/1".to_owned(),
-        credential: Credential::Missing,
-        fields: Vec::new(),
-        body: Bytes::new(),
-        time_left: Duration::from_millis(800),
-    }
-}
-
 fn arrival(criterion: &mut Criterion) {
     let load = ReportedLoad {
         running: 1,
--- a/crates/core/tests/extra_attempts/fleet.rs
+++ b/crates/core/tests/extra_attempts/fleet.rs
@@ -1,21 +1,18 @@
 //! A fleet of forwarders that share upstreams, some of which are disturbed for seconds.
 
 use crate::{
+    event_queue::EventQueue,
     figures::{KindFigures, ServiceArrivals},
+    forward_fixtures,
     upstream_model::{Job, UpstreamModel},
 };
-use bytes::Bytes;
 use medlarpost_core::prelude::*;
-use std::{
-    cmp::Reverse,
-    collections::{BinaryHeap, HashMap},
-};
+use std::collections::HashMap;
 
 const SHARDS: usize = 18;
 const REPLICAS: usize = 3;
 const SLOTS: u32 = 4;
 const OBJECTIVE: Duration = Duration::from_millis(200);
-const TIMEOUT: Duration = Duration::from_millis(800);
 const MIN_COVERAGE: f64 = 0.5;
 const SERVICE_MICROS: f64 = 20_000.0;
 const NETWORK_DELAY: Duration = Duration::from_micros(400);
@@ -94,8 +91,7 @@
     case: Case,
     limits: FleetLimits,
     now: Timestamp,
-    events: BinaryHeap<Reverse<(Timestamp, u64, Event)>>,
-    events_pushed: u64,
+    events: EventQueue<Event>,
     nodes: Vec<Node>,
     upstreams: Vec<UpstreamModel>,
     jobs: Vec<Job>,
@@ -109,8 +105,8 @@
 /// Runs a case and returns its figures, which depend on the seed only.
 pub fn run(case: Case, seed: u64) -> Figures {
     let mut fleet = Fleet::new(case, seed);
-    fleet.push(Timestamp::ZERO, Event::Arrival);
-    while let Some(Reverse((at, _, event))) = fleet.events.pop() {
+    fleet.events.push(Timestamp::ZERO, Event::Arrival);
+    while let Some((at, event)) = fleet.events.pop() {
         if at >= END {
             break;
         }
@@ -126,12 +122,8 @@
     fn new(case: Case, seed: u64) -> Self {
         let mut rng = fastrand::Rng::with_seed(seed);
         let limits = FleetLimits {
-            extra_ratio: 0.2,
             extra_slack: case.extra_slack,
-            extra_window: Duration::from_secs(10),
-            cold_excess: 1.5,
-            cold_slack: 5.0,
-            quotas: None,
+            ..forward_fixtures::settings().limits
         };
         let models = (0..SHARDS * REPLICAS).map(|i| {
             let rng = fastrand::Rng::with_seed(seed * 1_000 + i as u64);
@@ -141,8 +133,7 @@
             case,
             limits,
             now: Timestamp::ZERO,
-            events: BinaryHeap::new(),
-            events_pushed: 0,
+            events: EventQueue::new(),
             upstreams: models.collect(),
             nodes: (0..case.nodes)
                 .map(|_| new_node(case, limits, rng.u64(..)))
@@ -150,7 +141,7 @@
             jobs: Vec::new(),
             callers: SlotMap::with_key(),
             arrivals: (0..SHARDS).map(|_| ServiceArrivals::default()).collect(),
-            requests: KINDS.map(|kind| Arc::new(request(kind))),
+            requests: KINDS.map(|kind| Arc::new(forward_fixtures::request(&format!("/{kind}/1")))),
             rng,
             figures: Figures::default(),
         }
@@ -179,11 +170,6 @@
         self.now >= DISTURBED_FROM
     }
 
-    fn push(&mut self, at: Timestamp, event: Event) {
-        self.events_pushed += 1;
-        self.events.push(Reverse((at, self.events_pushed, event)));
-    }
-
     fn handle(&mut self, event: Event) {
         match event {
             Event::Arrival => self.arrive(),
@@ -195,7 +181,8 @@
             Event::Finished(upstream, job) => {
                 self.upstreams[upstream].running -= 1;
                 self.start_jobs(upstream);
-                self.push(self.now + NETWORK_DELAY, Event::AtNode(upstream, job));
+                self.events
+                    .push(self.now + NETWORK_DELAY, Event::AtNode(upstream, job));
             }
             Event::Resume(upstream) => self.start_jobs(upstream),
             Event::AtNode(upstream, job) => self.reply(upstream, job),
@@ -210,7 +197,8 @@
 
     fn arrive(&mut self) {
         let gap = -self.rng.f64().max(1e-12).ln() * MEAN_GAP_MICROS;
-        self.push(self.now + Duration::from_micros(gap as u64), Event::Arrival);
+        self.events
+            .push(self.now + Duration::from_micros(gap as u64), Event::Arrival);
         let gathered = self.rng.f64() < GATHERED_SHARE;
         let kind = usize::from(!gathered) * 2 + self.rng.usize(..2);
         let node = self.rng.usize(..self.nodes.len());
@@ -229,11 +217,13 @@
         }
         while let Some((job, end)) = self.upstreams[upstream].start_next(self.now) {
             self.jobs.push(job);
-            self.push(end, Event::Finished(upstream, self.jobs.len() - 1));
+            self.events
+                .push(end, Event::Finished(upstream, self.jobs.len() - 1));
         }
         let model = &self.upstreams[upstream];
         if model.is_paused(self.now) {
-            self.push(model.paused_until, Event::Resume(upstream));
+            self.events
+                .push(model.paused_until, Event::Resume(upstream));
         }
     }
 
@@ -245,9 +235,9 @@
             .service_percent
             .map(|percent| (f64::from(percent) * slowness) as u32);
         let outcome = if self.has(Disturbance::Fail, upstream) {
-            ForwardOutcome::Failed(reply(500))
+            ForwardOutcome::Failed(forward_fixtures::reply(500, b""))
         } else {
-            ForwardOutcome::Served(reply(200))
+            forward_fixtures::served_reply(b"")
         };
         let end = AttemptEnd {
             attempt: job.attempt,
@@ -284,7 +274,7 @@
         if wakeup != self.nodes[node].wakeup {
             self.nodes[node].wakeup = wakeup;
             if let Some(at) = wakeup {
-                self.push(at.max(self.now), Event::Wakeup(node));
+                self.events.push(at.max(self.now), Event::Wakeup(node));
             }
         }
     }
@@ -302,7 +292,7 @@
             work_micros: work * self.slowness(upstream),
         });
         let event = Event::AtUpstream(upstream, self.jobs.len() - 1);
-        self.push(self.now + NETWORK_DELAY, event);
+        self.events.push(self.now + NETWORK_DELAY, event);
     }
 
     fn answer(&mut self, caller: CallerKey, answer: &ForwardAnswer) {
@@ -325,13 +315,11 @@
 fn new_node(case: Case, limits: FleetLimits, seed: u64) -> Node {
     let settings = ForwarderSettings {
         zone: ZONE.into(),
-        regions: [(ZONE.into(), "r-1".into())].into(),
         limits,
         cross_zone_cost: 0.5,
-        answer_margin: Duration::from_millis(10),
-        revoke_within: None,
         initial_fleet_size: case.nodes as u32,
         seed,
+        ..forward_fixtures::settings()
     };
     let mut forwarder = Forwarder::new(settings).expect("embedded charts are valid");
     let mut commands = Vec::new();
@@ -365,7 +353,12 @@
     let ranks = [0, 3, 0, 3];
     let targets = [gathered.clone(), gathered, plain.clone(), plain];
     let routes = KINDS.iter().zip(ranks).zip(targets);
-    let routes = routes.map(|((kind, rank), target)| route(kind, rank, target));
+    let routes = routes.map(|((kind, rank), target)| Route {
+        objective: OBJECTIVE,
+        max_attempts: 3,
+        rank,
+        ..forward_fixtures::route(kind, target)
+    });
     let settings = |shard| {
         let settings = ServiceSettings {
             max_connections: 100_000,
@@ -379,53 +372,10 @@
     Arc::new(RoutingTable::new(1, routes.collect(), services, limits))
 }
 
-fn route(kind: &str, rank: u32, target: Target) -> Route {
-    Route {
-        name: kind.into(),
-        host: "search.example".to_owned(),
-        prefix: format!("/{kind}/"),
-        idempotent: true,
-        timeout: TIMEOUT,
-        objective: OBJECTIVE,
-        max_attempts: 3,
-        rank,
-        public: false,
-        regions: Vec::new(),
-        target,
-    }
-}
-
 fn entry(upstream: usize) -> RegisteredUpstream {
     RegisteredUpstream {
         instance: format!("upstream-{upstream}").into(),
-        service: service(upstream / REPLICAS),
-        address: "127.0.0.1:9".parse().expect("a valid address"),
-        zone: ZONE.into(),
         slots: SLOTS,
-        leaving: false,
-        cold_for: Duration::ZERO,
-        started_at_ms: 1,
-    }
-}
-
-fn request(kind: &str) -> ForwardRequest {
-    ForwardRequest {
-        id: "request-1".into(),
-        host: "search.example".to_owned(),
-        method: "GET".to_owned(),
-        target: format!("/{kind}/1"),
-        credential: Credential::Missing,
-        fields: Vec::new(),
-        body: Bytes::new(),
-        time_left: TIMEOUT,
-    }
-}
-
-fn reply(status: u16) -> UpstreamReply {
-    UpstreamReply {
-        status,
-        fields: Vec::new(),
-        proof: Some(Bytes::from_static(b"proof")),
-        body: Bytes::new(),
+        ..forward_fixtures::upstream(&service(upstream / REPLICAS), ZONE)
     }
 }
--- a/crates/core/tests/forwarding/forward_harness.rs
+++ b/crates/core/tests/forwarding/forward_harness.rs
@@ -1,19 +1,16 @@
 //! Test harness: a forwarder with registered upstreams and a simulated clock.
 
-use bytes::Bytes;
 use medlarpost_core::prelude::*;
 use std::collections::BTreeSet;
 
-pub const OBJECTIVE: Duration = Duration::from_millis(120);
-pub const TIMEOUT: Duration = Duration::from_millis(800);
+pub use crate::forward_fixtures::{
+    OBJECTIVE, TIMEOUT, reply, request, route, served_reply, service_route, settings,
+    shards_target, table, upstream,
+};
 
 pub const LOW: &[u8] = b"0000000000000001";
 pub const HIGH: &[u8] = b"9000000000000001";
 
-pub fn service_route(name: &str) -> Route {
-    route(name, Target::Service("desk".into()))
-}
-
 pub fn booking_route() -> Route {
     Route {
         idempotent: false,
@@ -42,109 +39,6 @@
     pub instance: String,
 }
 
-pub fn settings() -> ForwarderSettings {
-    ForwarderSettings {
-        zone: "z-a".into(),
-        regions: [("z-a", "r-1"), ("z-b", "r-1"), ("z-c", "r-2")]
-            .map(|(zone, region)| (zone.into(), region.into()))
-            .into(),
-        limits: FleetLimits {
-            extra_ratio: 0.2,
-            extra_slack: 50.0,
-            extra_window: Duration::from_secs(10),
-            cold_excess: 1.5,
-            cold_slack: 5.0,
-            quotas: None,
-        },
-        cross_zone_cost: 0.2,
-        answer_margin: Duration::from_millis(10),
-        initial_fleet_size: 1,
-        revoke_within: None,
-        seed: 1,
-    }
-}
-
-pub fn route(name: &str, target: Target) -> Route {
-    Route {
-        name: name.into(),
-        host: "search.example".to_owned(),
-        prefix: format!("/{name}/"),
-        idempotent: true,
-        timeout: TIMEOUT,
-        objective: OBJECTIVE,
-        max_attempts: 2,
-        rank: 1,
-        public: false,
-        regions: Vec::new(),
-        target,
-    }
-}
-
-pub fn shards_target(count: usize, min_coverage: f64) -> Target {
-    Target::Shards(ShardTarget {
-        services: (0..count).map(|i| format!("shard-{i}").into()).collect(),
-        limit: 4,
-        min_coverage,
-    })
-}
-
-pub fn table(version: u64, routes: Vec<Route>) -> Arc<RoutingTable> {
-    let names: Vec<_> = routes.iter().flat_map(Route::services).collect();
-    let services = names.into_iter().map(|name| {
-        let settings = ServiceSettings {
-            max_connections: 30,
-            warm_up: Duration::from_secs(3),
-            cold_rate: Some(4.0),
-        };
-        (name, settings)
-    });
-    Arc::new(RoutingTable::new(
-        version,
-        routes,
-        services.collect(),
-        CallerLimits::default(),
-    ))
-}
-
-pub fn upstream(service: &str, zone: &str) -> RegisteredUpstream {
-    RegisteredUpstream {
-        instance: format!("{service}@{zone}").into(),
-        service: service.into(),
-        address: "127.0.0.1:9".parse().unwrap(),
-        zone: zone.into(),
-        slots: 3,
-        leaving: false,
-        cold_for: Duration::ZERO,
-        started_at_ms: 1,
-    }
-}
-
-pub fn request(path: &str) -> ForwardRequest {
-    ForwardRequest {
-        id: "request-1".into(),
-        host: "search.example".to_owned(),
-        method: "GET".to_owned(),
-        target: path.to_owned(),
-        credential: Credential::Missing,
-        fields: Vec::new(),
-        body: Bytes::new(),
-        time_left: TIMEOUT,
-    }
-}
-
-pub fn served_reply(body: &'static [u8]) -> ForwardOutcome {
-    ForwardOutcome::Served(reply(200, body))
-}
-
-pub fn reply(status: u16, body: &'static [u8]) -> UpstreamReply {
-    UpstreamReply {
-        status,
-        fields: Vec::new(),
-        proof: Some(Bytes::from_static(b"proof")),
-        body: Bytes::from_static(body),
-    }
-}
-
 /// A harness with these routes in force and one upstream of each service in each zone.
 pub fn harness(routes: Vec<Route>, zones: &[&str]) -> Harness {
     let services: BTreeSet<Arc<str>> = routes.iter().flat_map(Route::services).collect();
--- a/crates/core/tests/forwarding/main.rs
+++ b/crates/core/tests/forwarding/main.rs
@@ -5,6 +5,7 @@
 mod decisions;
 mod dry_runs;
 mod extra_attempts;
+mod forward_fixtures;
 mod forward_harness;
 mod give_ups;
 mod identification;
--- a/crates/core/tests/placement/fleet.rs
+++ b/crates/core/tests/placement/fleet.rs
@@ -2,14 +2,14 @@
 
 use crate::{
     connections::Connections,
+    event_queue::EventQueue,
     figures::Figures,
+    forward_fixtures,
     upstream_model::{Disturbance, DisturbanceKind, Job, UpstreamModel},
 };
-use bytes::Bytes;
 use medlarpost_core::prelude::*;
 use std::{
-    cmp::Reverse,
-    collections::{BinaryHeap, HashMap},
+    collections::HashMap,
     fmt,
     net::{Ipv4Addr, SocketAddr},
 };
@@ -146,8 +146,7 @@
 struct Fleet {
     layout: Layout,
     now: Timestamp,
-    events: BinaryHeap<Reverse<(Timestamp, u64, Event)>>,
-    events_pushed: u64,
+    events: EventQueue<Event>,
     nodes: Vec<Node>,
     upstreams: Vec<UpstreamModel>,
     jobs: Vec<Job>,
@@ -170,12 +169,12 @@
 /// Runs a case and returns its figures, which depend on the seed only.
 pub fn run(case: Case, seed: u64) -> Figures {
     let mut fleet = Fleet::new(case, seed);
-    fleet.push(Timestamp::ZERO, Event::Arrival);
+    fleet.events.push(Timestamp::ZERO, Event::Arrival);
     if case.shares || case.disturbance.is_some() {
-        fleet.push(Timestamp::ZERO, Event::Sighting);
+        fleet.events.push(Timestamp::ZERO, Event::Sighting);
     }
     let end = Timestamp::ZERO + WARM_UP + case.measured();
-    while let Some(Reverse((at, _, event))) = fleet.events.pop() {
+    while let Some((at, event)) = fleet.events.pop() {
         if at >= end {
             break;
         }
@@ -214,8 +213,7 @@
         Self {
             layout: case.layout,
             now: Timestamp::ZERO,
-            events: BinaryHeap::new(),
-            events_pushed: 0,
+            events: EventQueue::new(),
             nodes: nodes.collect(),
             upstreams,
             jobs: Vec::new(),
@@ -238,11 +236,6 @@
         self.now >= Timestamp::ZERO + WARM_UP
     }
 
-    fn push(&mut self, at: Timestamp, event: Event) {
-        self.events_pushed += 1;
-        self.events.push(Reverse((at, self.events_pushed, event)));
-    }
-
     fn handle(&mut self, event: Event) {
         match event {
             Event::Arrival => self.arrive(),
@@ -258,7 +251,7 @@
                 self.connections.give_back(self.now, job.node, upstream);
                 let end = AttemptEnd {
                     attempt: job.attempt,
-                    outcome: ForwardOutcome::Served(reply_without_body()),
+                    outcome: forward_fixtures::served_reply(b""),
                     report: UpstreamReport {
                         load: Some(load),
                         ..UpstreamReport::default()
@@ -302,7 +295,8 @@
 
     /// Tells all nodes of each other if they share observations.
     fn sight_all(&mut self) {
-        self.push(self.now + SIGHTING_INTERVAL, Event::Sighting);
+        self.events
+            .push(self.now + SIGHTING_INTERVAL, Event::Sighting);
         let nodes = if self.shares { self.nodes.len() } else { 0 };
         for node in 0..nodes {
             let others = (0..self.nodes.len()).filter(|other| *other != node);
@@ -327,14 +321,15 @@
         }
         for to in &message.to {
             let event = Event::Observed(node_at(*to), index);
-            self.push(self.now + NODE_DELAY, event);
+            self.events.push(self.now + NODE_DELAY, event);
         }
         self.messages.push((node, message));
     }
 
     fn arrive(&mut self) {
         let gap = -self.rng.f64().max(1e-12).ln() * self.gap_micros;
-        self.push(self.now + Duration::from_micros(gap as u64), Event::Arrival);
+        self.events
+            .push(self.now + Duration::from_micros(gap as u64), Event::Arrival);
         let node = self.pick_node();
         let caller = self.callers.insert(self.now);
         let request = Arc::new(request());
@@ -372,11 +367,13 @@
         self.upstreams[upstream].update(self.now);
         while let Some((job, end)) = self.upstreams[upstream].start_next(self.now) {
             self.jobs.push(job);
-            self.push(end, Event::Finished(upstream, self.jobs.len() - 1));
+            self.events
+                .push(end, Event::Finished(upstream, self.jobs.len() - 1));
         }
         let model = &self.upstreams[upstream];
         if model.is_paused(self.now) {
-            self.push(model.paused_until, Event::Resume(upstream));
+            self.events
+                .push(model.paused_until, Event::Resume(upstream));
         }
     }
 
@@ -386,7 +383,8 @@
         let report = self.upstreams[upstream].report(self.now);
         self.replies.push((self.jobs[job], upstream, report));
         let reply = self.replies.len() - 1;
-        self.push(self.now + NETWORK_DELAY, Event::AtNode(reply));
+        self.events
+            .push(self.now + NETWORK_DELAY, Event::AtNode(reply));
     }
 
     fn tell(&mut self, node: usize, event: ForwardEvent) {
@@ -417,7 +415,7 @@
         if wakeup != self.nodes[node].wakeup {
             self.nodes[node].wakeup = wakeup;
             if let Some(at) = wakeup {
-                self.push(at.max(self.now), Event::Wakeup(node));
+                self.events.push(at.max(self.now), Event::Wakeup(node));
             }
         }
     }
@@ -431,7 +429,8 @@
         reason: NoReply,
     ) {
         if self.is_disturbed {
-            self.push(at, Event::Unanswered(node, attempt, reason));
+            self.events
+                .push(at, Event::Unanswered(node, attempt, reason));
         }
     }
 
@@ -460,7 +459,8 @@
                 self.figures.add_opened(open, self.max_connections);
             }
         }
-        self.push(self.now + delay, Event::AtUpstream(upstream, job));
+        self.events
+            .push(self.now + delay, Event::AtUpstream(upstream, job));
     }
 
     fn answer(&mut self, caller: CallerKey, answer: &ForwardAnswer) {
@@ -521,36 +521,18 @@
 fn settings(case: Case, zone: &str, seed: u64) -> ForwarderSettings {
     ForwarderSettings {
         zone: zone.into(),
-        regions: ZONES.map(|zone| (zone.into(), "r-1".into())).into(),
-        limits: FleetLimits {
-            extra_ratio: 0.2,
-            extra_slack: 50.0,
-            extra_window: Duration::from_secs(10),
-            cold_excess: 1.5,
-            quotas: None,
-            cold_slack: 5.0,
-        },
         cross_zone_cost: 0.5,
-        answer_margin: Duration::from_millis(10),
-        revoke_within: None,
         initial_fleet_size: case.nodes as u32,
         seed,
+        ..forward_fixtures::settings()
     }
 }
 
 fn table(objective: Duration, max_connections: u32) -> Arc<RoutingTable> {
     let route = Route {
-        name: "a".into(),
-        host: "search.example".to_owned(),
-        prefix: "/a/".to_owned(),
-        idempotent: true,
         timeout: objective * 6,
         objective,
-        max_attempts: 2,
-        rank: 1,
-        public: false,
-        regions: Vec::new(),
-        target: Target::Service("desk".into()),
+        ..forward_fixtures::service_route("a")
     };
     let service = ServiceSettings {
         max_connections,
@@ -569,34 +551,14 @@
 fn entry(index: usize, zone: &str) -> RegisteredUpstream {
     RegisteredUpstream {
         instance: format!("desk-{index}").into(),
-        service: "desk".into(),
-        address: "127.0.0.1:9".parse().expect("a valid address"),
-        zone: zone.into(),
         slots: SLOTS[index % SLOTS.len()],
-        leaving: false,
-        cold_for: Duration::ZERO,
-        started_at_ms: 1,
+        ..forward_fixtures::upstream("desk", zone)
     }
 }
 
 fn request() -> ForwardRequest {
     ForwardRequest {
-        id: "request-1".into(),
-        host: "search.example".to_owned(),
-        method: "GET".to_owned(),
-        target: "/a/1".to_owned(),
-        credential: Credential::Missing,
-        fields: Vec::new(),
-        body: Bytes::new(),
         time_left: Duration::from_mins(1),
-    }
-}
-
-fn reply_without_body() -> UpstreamReply {
-    UpstreamReply {
-        status: 200,
-        fields: Vec::new(),
-        proof: Some(Bytes::from_static(b"proof")),
-        body: Bytes::new(),
+        ..forward_fixtures::request("/a/1")
     }
 }
