--- a/crates/node/tests/registry_followers.rs
+++ b/crates/node/tests/registry_followers/main.rs
@@ -1,37 +1,25 @@
 //! Guards against followers that act on a change later than their bound allows because their reader is disturbed, that
 //! serve outdated contents, or that call the registry without need. Sockets and time are real.
 
+mod fake_reader;
 #[expect(dead_code, reason = "each test file uses a part of the fake registry")]
+#[path = "../fake_registry/mod.rs"]
 mod fake_registry;
+mod fixture;
 
-use fake_registry::{CONFIGURATION, FakeRegistry, Fault, RegistryLink, UNREADABLE};
+use fake_reader::FakeReader;
+use fake_registry::{CONFIGURATION, FakeRegistry, Fault, UNREADABLE};
+use fixture::{Addresses, BOUND, BOUNDS, Node, bind_fleet, start_pair, view_of};
 use futures_util::{SinkExt as _, StreamExt as _};
 use medlarpost_core::prelude::*;
-use medlarpost_node::{
-    forward_metrics::ForwardMetrics, forward_task::ForwardMessage,
-    registry_watcher::RegistryWatcher,
-};
-use medlarpost_wire::snapshot_codec::{FollowerCodec, RelayServerCodec, SnapshotClientCodec};
-use slog::{Discard, Logger, o};
+use medlarpost_wire::snapshot_codec::{FollowerCodec, SnapshotClientCodec};
 use std::net::SocketAddr;
 use tokio::{
     net::{TcpListener, TcpStream},
-    sync::{mpsc, watch},
-    task::JoinHandle,
     time::Instant,
 };
 use tokio_util::codec::Framed;
 
-const BOUND: Duration = Duration::from_secs(2);
-
-const BOUNDS: RegistryBounds = RegistryBounds {
-    contact: BOUND,
-    drain: BOUND,
-    config_apply: BOUND,
-    evacuate: BOUND,
-    revoke: None,
-};
-
 /// Time before the end of a grace period until which an entry must return: the longest pause between reads while entries
 /// are missing, and a read.
 const RENEWAL_MARGIN: Duration = Duration::from_millis(400);
@@ -39,173 +27,6 @@
 /// Most followers of a node.
 const MAX_FOLLOWERS: usize = 64;
 
-/// Smallest fleet that has followers.
-const FLEET: usize = 9;
-
-/// A running watcher.
-struct Node {
-    link: RegistryLink,
-    messages: mpsc::UnboundedReceiver<ForwardMessage>,
-    limits: watch::Sender<RegistryLimits>,
-    tasks: Vec<JoinHandle<()>>,
-}
-
-impl Node {
-    /// Starts a watcher that serves other nodes on the listener.
-    fn start(
-        registry: &FakeRegistry,
-        listener: TcpListener,
-        fleet: Option<RegistryFleet>,
-        bounds: &RegistryBounds,
-    ) -> Self {
-        let (forward, messages) = mpsc::unbounded_channel();
-        let link = registry.link();
-        let (limits, limits_rx) = watch::channel(bounds.limits());
-        let watcher = RegistryWatcher::new(
-            link.clone(),
-            limits_rx,
-            forward,
-            watch::channel(Vec::new()).1,
-            ForwardMetrics::register(&prometheus::Registry::new()).expect("unique names"),
-            Logger::root(Discard, o!()),
-        )
-        .expect("the chart is valid")
-        .with_fleet(watch::channel(fleet).1);
-        let serving = actix_rt::spawn(watcher.serve_nodes(listener));
-        let tasks = vec![serving, actix_rt::spawn(watcher.run())];
-        Self {
-            link,
-            messages,
-            limits,
-            tasks,
-        }
-    }
-
-    /// Ends the tasks, which closes all connections.
-    fn kill(&self) {
-        for task in &self.tasks {
-            task.abort();
-        }
-    }
-
-    /// Events within this time, with the time of each.
-    async fn events_within(&mut self, time: Duration) -> Vec<(ForwardEvent, Instant)> {
-        let until = Instant::now() + time;
-        let mut events = Vec::new();
-        while let Ok(Some(message)) = tokio::time::timeout_at(until, self.messages.recv()).await {
-            if let ForwardMessage::Event(event) = message {
-                events.push((event, Instant::now()));
-            }
-        }
-        events
-    }
-
-    /// Time from now until the instance is deregistered, if that is within `time`.
-    async fn deregistered(&mut self, instance: &str, time: Duration) -> Option<Duration> {
-        let began = Instant::now();
-        while let Ok(Some(message)) =
-            tokio::time::timeout_at(began + time, self.messages.recv()).await
-        {
-            if let ForwardMessage::Event(ForwardEvent::UpstreamDeregistered(gone)) = message
-                && &*gone == instance
-            {
-                return Some(began.elapsed());
-            }
-        }
-        None
-    }
-}
-
-/// Listeners of a fleet, that of the follower last, and those of its readers in the order in which it prefers them.
-struct Addresses {
-    follower: TcpListener,
-    readers: Vec<TcpListener>,
-    fleet: RegistryFleet,
-    nodes: Vec<SocketAddr>,
-}
-
-/// Binds the listeners of a fleet. `network` tells the fleets of tests apart.
-async fn bind_fleet(network: u8) -> Addresses {
-    let mut listeners = Vec::new();
-    for node in 0..FLEET {
-        let address = SocketAddr::from(([127, 81, 0, network + node as u8], 0));
-        listeners.push(TcpListener::bind(address).await.expect("a free port"));
-    }
-    let nodes: Vec<_> = listeners
-        .iter()
-        .map(|listener| listener.local_addr().expect("bound"))
-        .collect();
-    let (fleet, readers) = nodes
-        .iter()
-        .map(|own| view_of(*own, &nodes))
-        .find(|(_, readers)| !readers.is_empty())
-        .expect("the fleet has followers");
-    let mut take = |address: SocketAddr| {
-        let at = listeners
-            .iter()
-            .position(|listener| listener.local_addr().expect("bound") == address);
-        listeners.swap_remove(at.expect("not taken"))
-    };
-    Addresses {
-        follower: take(fleet.sighting.own),
-        readers: readers.into_iter().map(&mut take).collect(),
-        fleet,
-        nodes,
-    }
-}
-
-/// The fleet as node `own` sees it, and the readers that it prefers: none if it is a reader itself.
-fn view_of(own: SocketAddr, nodes: &[SocketAddr]) -> (RegistryFleet, Vec<SocketAddr>) {
-    let others = nodes.iter().filter(|node| **node != own);
-    let members = others.map(|node| KnownMember {
-        address: *node,
-        age: Duration::ZERO,
-    });
-    let fleet = RegistryFleet {
-        sighting: FleetSighting {
-            own,
-            members: members.collect(),
-            size: Some(nodes.len() as u32),
-        },
-        is_stable: true,
-    };
-    let mut readers = RegistryReaders::new().expect("the chart is valid");
-    readers.update_fleet(Some(&fleet), &BOUNDS.limits());
-    let preferred = readers.readers().to_vec();
-    (fleet, preferred)
-}
-
-/// A reader and its follower. The other readers accept connections and say nothing.
-struct Pair {
-    reader: Node,
-    follower: Node,
-    others: Vec<TcpListener>,
-    reader_address: SocketAddr,
-    nodes: Vec<SocketAddr>,
-}
-
-async fn start_pair(registry: &FakeRegistry, network: u8, bounds: &RegistryBounds) -> Pair {
-    let Addresses {
-        follower,
-        mut readers,
-        fleet,
-        nodes,
-    } = bind_fleet(network).await;
-    let first = readers.remove(0);
-    let reader_address = first.local_addr().expect("bound");
-    let (view, _) = view_of(reader_address, &nodes);
-    let reader = Node::start(registry, first, Some(view), bounds);
-    let mut follower = Node::start(registry, follower, Some(fleet), bounds);
-    follower.events_within(Duration::from_millis(1_500)).await;
-    Pair {
-        reader,
-        follower,
-        others: readers,
-        reader_address,
-        nodes,
-    }
-}
-
 /// Guards against followers that call the registry although their reader works, or don't learn of changes.
 #[actix_rt::test]
 async fn follower_of_a_sound_reader_gets_changes_without_calls() {
@@ -278,67 +99,6 @@
     }
 }
 
-/// Replies of a fake reader to the polls that it gets.
-#[derive(Clone, Copy)]
-enum FakeReader {
-    /// Replies to the first poll and is silent after it.
-    FreezesAfterFirst,
-    /// Tells no ages, as nodes do that don't know of followers.
-    WithoutAges,
-    /// Has fresh ages and a revision from before the follower's.
-    OlderRevision,
-    /// Its reads of the registry get older and older.
-    Ageing,
-}
-
-/// Serves a fake reader, whose contents are an entry that the registry doesn't have.
-fn start_fake_reader(listener: TcpListener, kind: FakeReader, revision: u64) {
-    actix_rt::spawn(async move {
-        while let Ok((stream, _)) = listener.accept().await {
-            actix_rt::spawn(serve_fake_reader(stream, kind, revision));
-        }
-    });
-}
-
-async fn serve_fake_reader(stream: TcpStream, kind: FakeReader, revision: u64) {
-    let mut framed = Framed::new(stream, RelayServerCodec::default());
-    let started = Instant::now();
-    let mut polls = 0;
-    while let Some(Ok(RelayRequest::Poll(poll))) = framed.next().await {
-        polls += 1;
-        if matches!(kind, FakeReader::FreezesAfterFirst) && polls > 1 {
-            std::future::pending::<()>().await;
-        }
-        tokio::time::sleep(poll.wait.min(Duration::from_millis(200))).await;
-        let view_ms = match kind {
-            FakeReader::FreezesAfterFirst | FakeReader::OlderRevision => Some(0),
-            FakeReader::Ageing => Some(started.elapsed().as_millis() as i64),
-            FakeReader::WithoutAges => None,
-        };
-        let is_old = matches!(kind, FakeReader::OlderRevision);
-        let entry = PublishedItem {
-            key: "i-outdated".into(),
-            value: bytes::Bytes::from_static(b"desk 1"),
-        };
-        let reply = RegistryReply {
-            snapshot: Snapshot {
-                revision: if is_old { revision - 1 } else { revision },
-                current: true,
-                items: if is_old { vec![entry] } else { Vec::new() },
-            },
-            changes_only: !is_old,
-            removals: Vec::new(),
-            ages: RelayAges {
-                view_ms,
-                ..RelayAges::default()
-            },
-        };
-        if framed.send(reply).await.is_err() {
-            return;
-        }
-    }
-}
-
 /// Guards against a follower that keeps the bounds from before a reload while its readers are silent.
 #[actix_rt::test]
 async fn reloaded_bounds_apply_while_following() {
@@ -379,7 +139,7 @@
             ..
         } = bind_fleet(network).await;
         for reader in readers {
-            start_fake_reader(reader, kind, registry.revision());
+            fake_reader::start(reader, kind, registry.revision());
         }
         let mut follower = Node::start(&registry, follower, Some(fleet), &BOUNDS);
         let started = follower.events_within(Duration::from_millis(300)).await;
